--- /dev/null
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -0,0 +1,44 @@
+// The numbered events of the log. docs/EVENTS.md lists the same, and a test
+// holds the two to each other.
+
+#ifndef MIMOSAGAUGE_IMPL_CORE_LOG_CATALOGUE_H_
+#define MIMOSAGAUGE_IMPL_CORE_LOG_CATALOGUE_H_
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace mimosagauge {
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+/// \brief One kind of log entry.
+struct LogEvent {
+  std::uint16_t number = 0;  ///< Never reused for another kind.
+  LogLevel level = LogLevel::kInfo;
+  std::string_view text;    ///< What happened.
+  std::string_view remedy;  ///< What the reader can do; empty: nothing.
+};
+
+/// Numbers by part: 1xxx process, 2xxx callers, 3xxx upstreams, 4xxx links,
+/// 5xxx platform, 6xxx rules, 7xxx membership, 8xxx decisions.
+namespace log_events {
+
+inline constexpr LogEvent kStarted{1001, LogLevel::kInfo, "instance started",
+                                   ""};
+inline constexpr LogEvent kDraining{1002, LogLevel::kInfo,
+                                    "graceful shutdown began", ""};
+inline constexpr LogEvent kStopped{1003, LogLevel::kInfo, "instance stopped",
+                                   ""};
+inline constexpr LogEvent kDrainTimeout{
+    1004, LogLevel::kWarning, "graceful shutdown ran out of time",
+    "raise limits.drain or look for requests that do not end"};
+
+}  // namespace log_events
+
+/// \returns Every kind of log entry, by number.
+[[nodiscard]] std::span<const LogEvent> LogCatalogue() noexcept;
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_CORE_LOG_CATALOGUE_H_
--- /dev/null
+++ b/include/mimosagauge/impl/core/units.h
@@ -0,0 +1,57 @@
+// Strong types for sizes and rates.
+
+#ifndef MIMOSAGAUGE_IMPL_CORE_UNITS_H_
+#define MIMOSAGAUGE_IMPL_CORE_UNITS_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace mimosagauge {
+
+/// \brief A quantity in one unit; `Tag` names the unit.
+template <typename Tag>
+class Quantity {
+ public:
+  constexpr Quantity() noexcept = default;
+  constexpr explicit Quantity(std::uint64_t count) noexcept : count_(count) {}
+
+  /// \returns The number of units.
+  [[nodiscard]] constexpr std::uint64_t count() const noexcept {
+    return count_;
+  }
+
+  constexpr Quantity& operator+=(Quantity other) noexcept {
+    count_ += other.count_;
+    return *this;
+  }
+  /// Stops at zero.
+  constexpr Quantity& operator-=(Quantity other) noexcept {
+    count_ -= other.count_ < count_ ? other.count_ : count_;
+    return *this;
+  }
+  [[nodiscard]] friend constexpr Quantity operator+(Quantity a,
+                                                    Quantity b) noexcept {
+    return a += b;
+  }
+  [[nodiscard]] friend constexpr Quantity operator-(Quantity a,
+                                                    Quantity b) noexcept {
+    return a -= b;
+  }
+  [[nodiscard]] friend constexpr bool operator==(Quantity, Quantity) = default;
+  [[nodiscard]] friend constexpr auto operator<=>(Quantity, Quantity) = default;
+
+ private:
+  std::uint64_t count_ = 0;
+};
+
+using Bytes = Quantity<struct BytesTag>;
+/// \returns That many times 1,024 bytes.
+[[nodiscard]] constexpr Bytes Kibibytes(std::uint64_t count) noexcept {
+  return Bytes{count * 1024};
+}
+
+using BitsPerSecond = Quantity<struct BitsPerSecondTag>;
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_CORE_UNITS_H_
--- /dev/null
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -0,0 +1,115 @@
+// What the decisions want done, one typed effect each.
+
+#ifndef MIMOSAGAUGE_IMPL_DECISIONS_EFFECTS_H_
+#define MIMOSAGAUGE_IMPL_DECISIONS_EFFECTS_H_
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "mimosagauge/impl/core/error.h"
+#include "mimosagauge/impl/core/ids.h"
+#include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/events.h"
+#include "mimosagauge/impl/decisions/request.h"
+#include "mimosagauge/impl/decisions/view.h"
+
+namespace mimosagauge {
+
+/// \brief Give the request to an upstream of this region.
+struct StartUpstreamAttempt {
+  AttemptNumber attempt;
+  UpstreamId upstream;
+  RequestHeadPtr head;
+  BodyPtr body;
+  Duration remaining{};  ///< Until the answer is due.
+  Bytes credit;          ///< Body bytes it may pass on before more credit.
+  std::optional<std::string> last_event_id;  ///< Resume after this event.
+};
+
+/// \brief Give the request to another instance.
+struct StartLinkAttempt {
+  AttemptNumber attempt;
+  InstanceId instance;
+  RequestHeadPtr head;  ///< Its path ends with this instance.
+  BodyPtr body;
+  Duration remaining{};
+  Bytes credit;
+};
+
+/// \brief Forget an attempt; nothing is to be said about it any more.
+struct CancelAttempt {
+  AttemptNumber attempt;
+};
+
+/// \brief Let an attempt pass on more body bytes.
+struct CreditAttempt {
+  AttemptNumber attempt;
+  Bytes bytes;
+};
+
+/// \brief Send status and fields. Once per request, before any body.
+struct SendAnswerHead {
+  RequestNumber number;
+  AnswerHead head;
+};
+
+/// \brief Send part of the body.
+struct SendAnswerBody {
+  RequestNumber number;
+  std::string data;
+  std::optional<std::string> last_event_id;
+};
+
+/// \brief The answer is complete. Nothing follows for this request.
+struct SendAnswerEnd {
+  RequestNumber number;
+};
+
+/// \brief Break the answer off visibly. Nothing follows for this request.
+struct AbortAnswer {
+  RequestNumber number;
+  Problem problem;
+};
+
+/// \brief Answer with a problem document. Nothing follows for this request.
+struct SendProblem {
+  RequestNumber number;
+  Problem problem;
+};
+
+/// \brief Show this from now on.
+struct PublishView {
+  InstanceViewPtr view;  ///< Never null.
+};
+
+/// For the duty that talks to upstreams.
+using UpstreamEffect =
+    std::variant<StartUpstreamAttempt, CancelAttempt, CreditAttempt>;
+/// For the duty that talks to callers.
+using CallerEffect = std::variant<SendAnswerHead, SendAnswerBody, SendAnswerEnd,
+                                  AbortAnswer, SendProblem, PublishView>;
+/// For the duty that keeps links to other instances.
+using LinkEffect =
+    std::variant<StartLinkAttempt, CancelAttempt, CreditAttempt, SendAnswerHead,
+                 SendAnswerBody, SendAnswerEnd, AbortAnswer, SendProblem>;
+
+/// \brief Any effect, with the duty it is for.
+struct ForUpstreams {
+  UpstreamEffect effect;
+};
+struct ForCallers {
+  CallerEffect effect;
+};
+struct ForLinks {
+  LinkEffect effect;
+};
+/// For the duty that talks to operators.
+struct ForOperators {
+  PublishView effect;
+};
+using Effect = std::variant<ForUpstreams, ForCallers, ForLinks, ForOperators>;
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_DECISIONS_EFFECTS_H_
--- /dev/null
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -0,0 +1,94 @@
+// What the decisions learn, one typed event each.
+
+#ifndef MIMOSAGAUGE_IMPL_DECISIONS_EVENTS_H_
+#define MIMOSAGAUGE_IMPL_DECISIONS_EVENTS_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "mimosagauge/impl/core/error.h"
+#include "mimosagauge/impl/core/ids.h"
+#include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/request.h"
+#include "mimosagauge/impl/rules/rule_set.h"
+
+namespace mimosagauge {
+
+/// \brief Which duty a request came in by, and its answer goes out by.
+enum class Origin : std::uint8_t { kCaller, kLink };
+
+/// \brief A whole request came in.
+struct RequestArrived {
+  RequestNumber number;  ///< Even from callers, odd from links.
+  Origin origin = Origin::kCaller;
+  RequestHeadPtr head;
+  BodyPtr body;  ///< Never null.
+};
+
+/// \brief The other side of a request went away or cancelled it.
+struct RequestAbandoned {
+  RequestNumber number;
+};
+
+/// \brief The other side of a request took answer bytes.
+struct AnswerTaken {
+  RequestNumber number;
+  Bytes bytes;
+};
+
+/// \brief Status and fields of an answer came in. Once per attempt.
+struct AttemptAnswered {
+  AttemptNumber attempt;
+  AnswerHead head;
+};
+
+/// \brief Part of an answer's body came in.
+struct AttemptBody {
+  AttemptNumber attempt;
+  std::string data;
+  /// Of server-sent events: `id` of the last event in `data`, which then
+  /// holds whole events only.
+  std::optional<std::string> last_event_id;
+};
+
+/// \brief The answer is complete. Nothing follows for this attempt.
+struct AttemptEnded {
+  AttemptNumber attempt;
+};
+
+/// \brief The attempt came to nothing. Nothing follows for it.
+struct AttemptFailed {
+  AttemptNumber attempt;
+  RunState run = RunState::kUnknown;  ///< What is known of this attempt.
+  Error error;
+  std::optional<Problem> problem;  ///< What another instance answered.
+};
+
+/// \brief Rules came from the store or from another instance.
+struct RulesArrived {
+  std::shared_ptr<const RuleSet> rules;  ///< Never null.
+};
+
+/// \brief Whether a link to another instance is usable.
+struct LinkChanged {
+  InstanceId instance;
+  bool up = false;
+};
+
+/// \brief The instance has been told to stop gracefully.
+struct DrainRequested {};
+
+/// \brief Time went on.
+struct Tick {};
+
+using Event =
+    std::variant<RequestArrived, RequestAbandoned, AnswerTaken, AttemptAnswered,
+                 AttemptBody, AttemptEnded, AttemptFailed, RulesArrived,
+                 LinkChanged, DrainRequested, Tick>;
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_DECISIONS_EVENTS_H_
--- /dev/null
+++ b/include/mimosagauge/impl/decisions/view.h
@@ -0,0 +1,51 @@
+// What an instance knows of itself and of the others, as callers and
+// operators are shown it.
+
+#ifndef MIMOSAGAUGE_IMPL_DECISIONS_VIEW_H_
+#define MIMOSAGAUGE_IMPL_DECISIONS_VIEW_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mimosagauge/impl/core/endpoint.h"
+#include "mimosagauge/impl/core/ids.h"
+#include "mimosagauge/impl/core/time.h"
+#include "mimosagauge/impl/rules/rule_set.h"
+
+namespace mimosagauge {
+
+/// \brief An instance that callers may use now; never one that is leaving.
+struct EntryInstance {
+  InstanceId id;
+  RegionId region;
+  ZoneId zone;
+  Endpoint entry;
+};
+
+/// \brief An upstream of this region and what this instance does with it.
+struct UpstreamView {
+  UpstreamId id;
+  ServiceId service;
+  ZoneId zone;
+  std::string state;  ///< `live`, `leaving` or `ejected`.
+  std::size_t in_flight = 0;
+  std::size_t limit = 0;
+};
+
+/// \brief A consistent picture, taken by the decisions; immutable.
+struct InstanceView {
+  bool ready = false;
+  bool draining = false;
+  std::shared_ptr<const RuleSet> rules;  ///< Null: none known yet.
+  std::vector<EntryInstance> entries;    ///< This instance's preference.
+  Duration entries_good_for{};
+  std::vector<UpstreamView> upstreams;
+  std::string metrics;  ///< In the Prometheus text format.
+};
+
+using InstanceViewPtr = std::shared_ptr<const InstanceView>;
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_DECISIONS_VIEW_H_
--- /dev/null
+++ b/include/mimosagauge/impl/duties/log.h
@@ -0,0 +1,36 @@
+// Writing of numbered log events.
+
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_LOG_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_LOG_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "mimosagauge/impl/core/log_catalogue.h"
+
+namespace mimosagauge {
+
+/// \brief A named value in a log entry. Never a key or a token.
+struct LogField {
+  std::string_view name;
+  std::string value;
+};
+
+/// \brief Starts the thread that writes the log, to standard error.
+/// \param level `debug`, `info`, `warning` or `error`.
+void StartLog(const std::string& level);
+
+/// \brief Writes what is left and ends the thread.
+void StopLog();
+
+/// \brief Logs one event; any thread, never blocks.
+///
+/// \code
+/// Log(log_events::kStarted, {{"instance", settings.instance.value()}});
+/// \endcode
+void Log(const LogEvent& event, std::initializer_list<LogField> fields = {});
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_LOG_H_
--- /dev/null
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -0,0 +1,125 @@
+// What a process is: the settings of one instance.
+
+#ifndef MIMOSAGAUGE_IMPL_SETTINGS_SETTINGS_H_
+#define MIMOSAGAUGE_IMPL_SETTINGS_SETTINGS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mimosagauge/impl/core/endpoint.h"
+#include "mimosagauge/impl/core/ids.h"
+#include "mimosagauge/impl/core/time.h"
+#include "mimosagauge/impl/core/units.h"
+
+namespace mimosagauge {
+
+/// \brief What kind of server an upstream is.
+enum class UpstreamKind : std::uint8_t {
+  kEngine,  ///< A model engine: chat completions, streams.
+  kPlain,   ///< A plain HTTP service.
+};
+
+/// \brief What an engine does about fencing numbers in orders.
+enum class FencingSupport : std::uint8_t { kRefuses, kIgnores };
+
+/// \brief One upstream of this instance's region.
+struct UpstreamSettings {
+  UpstreamId id;
+  ServiceId service;
+  ZoneId zone;
+  Endpoint endpoint;
+  UpstreamKind kind = UpstreamKind::kPlain;
+  std::vector<ModelId> models;  ///< Empty for plain services.
+  std::size_t concurrency = 8;  ///< Requests it runs at once, to begin with.
+  bool honours_priority = false;
+  bool honours_resume = false;  ///< Continues a stream after Last-Event-ID.
+  bool checks_orderer = false;
+  FencingSupport fencing = FencingSupport::kIgnores;
+};
+
+/// \brief Another instance, known from the start.
+struct PeerSettings {
+  InstanceId id;
+  RegionId region;
+  ZoneId zone;
+  Endpoint peer;   ///< Where it listens for other instances.
+  Endpoint entry;  ///< Where it listens for callers.
+};
+
+/// \brief A client account and the token that names it.
+struct AccountSettings {
+  AccountId id;
+  std::string token;
+  RegionId home;  ///< Empty: none.
+};
+
+/// \brief Certificate, key and authority for links between instances.
+struct LinkTlsSettings {
+  std::string certificate_file;
+  std::string key_file;
+  std::string authority_file;
+};
+
+/// \brief Bounds of one instance.
+struct LimitSettings {
+  std::size_t connections = 12000;
+  std::size_t requests = 4096;  ///< In progress at once.
+  std::size_t queued = 1024;    ///< Of them, waiting for an upstream.
+  Bytes header = Kibibytes(16);
+  Bytes body = Kibibytes(8192);
+  Bytes stream_window =
+      Kibibytes(16);  ///< Unacknowledged answer bytes a stream.
+  Duration header_timeout = std::chrono::seconds(10);
+  Duration idle_timeout = std::chrono::seconds(120);
+  Duration default_due = std::chrono::seconds(60);
+  Duration silence = std::chrono::seconds(10);  ///< Upstream says nothing.
+  Duration drain = std::chrono::seconds(30);
+};
+
+/// \brief The settings of one instance, checked.
+struct Settings {
+  InstanceId instance;
+  RegionId region;
+  ZoneId zone;
+  Endpoint entry;      ///< Listens here for callers.
+  Endpoint peer;       ///< Listens here for other instances.
+  Endpoint operators;  ///< Listens here for operators.
+  std::string operator_token;
+  std::vector<Endpoint> store;  ///< The platform's key-value service.
+  std::string store_prefix = "/mimosagauge/";
+  std::optional<LinkTlsSettings> link_tls;
+  std::vector<AccountSettings> accounts;
+  std::vector<PeerSettings> peers;
+  std::vector<UpstreamSettings> upstreams;
+  LimitSettings limits;
+  std::string log_level = "info";
+};
+
+/// \brief A fault in a settings file, by place.
+struct SettingsFault {
+  std::string file;
+  std::uint32_t line = 0;  ///< From 1.
+  std::string message;
+  std::string remedy;
+};
+
+/// \brief Checks a settings text whole.
+/// \param text YAML.
+/// \param file Its name, for the faults.
+/// \returns The settings; every fault is appended to `faults`, and the
+/// settings hold only when none was.
+[[nodiscard]] Settings ParseSettings(const std::string& text,
+                                     const std::string& file,
+                                     std::vector<SettingsFault>& faults);
+
+/// \brief Reads and checks a settings file.
+[[nodiscard]] Settings LoadSettings(const std::string& file,
+                                    std::vector<SettingsFault>& faults);
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_SETTINGS_SETTINGS_H_
--- /dev/null
+++ b/src/core/log_catalogue.cc
@@ -0,0 +1,21 @@
+// The list of all log events.
+
+#include "mimosagauge/impl/core/log_catalogue.h"
+
+#include <array>
+
+namespace mimosagauge {
+namespace {
+
+constexpr std::array kCatalogue{
+    log_events::kStarted,
+    log_events::kDraining,
+    log_events::kStopped,
+    log_events::kDrainTimeout,
+};
+
+}  // namespace
+
+std::span<const LogEvent> LogCatalogue() noexcept { return kCatalogue; }
+
+}  // namespace mimosagauge
--- /dev/null
+++ b/src/platform/store.cc
@@ -0,0 +1,1 @@
+// Placeholder until the store client stands.
--- /dev/null
+++ b/src/wire/frame.cc
@@ -0,0 +1,1 @@
+// Placeholder until the peer protocol stands.
