Contract: the caller's path, gossip, log entries and the end of a drain

Cause: rules match on the path that the caller gave, while a plain service gets the rest of it; control state needs a way over the links. Change: a field and five types. Ruled out: rebuilding the caller's path from service and target, which a route line may have changed.

--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -5,10 +5,13 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
+#include "mimosagauge/impl/core/log_catalogue.h"
 #include "mimosagauge/impl/core/units.h"
 #include "mimosagauge/impl/decisions/events.h"
 #include "mimosagauge/impl/decisions/request.h"
@@ -78,6 +81,12 @@
   Problem problem;
 };
 
+/// \brief Send control state to another instance; may be lost.
+struct SendGossip {
+  InstanceId to;
+  std::string bytes;
+};
+
 /// \brief Show this from now on.
 struct PublishView {
   InstanceViewPtr view;  ///< Never null.
@@ -90,9 +99,9 @@
 using CallerEffect = std::variant<SendAnswerHead, SendAnswerBody, SendAnswerEnd,
                                   AbortAnswer, SendProblem, PublishView>;
 /// For the duty that keeps links to other instances.
-using LinkEffect =
-    std::variant<StartLinkAttempt, CancelAttempt, CreditAttempt, SendAnswerHead,
-                 SendAnswerBody, SendAnswerEnd, AbortAnswer, SendProblem>;
+using LinkEffect = std::variant<StartLinkAttempt, CancelAttempt, CreditAttempt,
+                                SendAnswerHead, SendAnswerBody, SendAnswerEnd,
+                                AbortAnswer, SendProblem, SendGossip>;
 
 /// \brief Any effect, with the duty it is for.
 struct ForUpstreams {
@@ -105,10 +114,25 @@
   LinkEffect effect;
 };
 /// For the duty that talks to operators.
+/// \brief Write to the log.
+struct WriteLog {
+  LogEvent event;
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+/// \brief Take no new callers from now on.
+struct StopAccepting {};
+
+/// \brief Everything in progress is finished; the process may end.
+struct Finished {
+  bool in_time = true;  ///< Nothing had to be cut off.
+};
+
 struct ForOperators {
   PublishView effect;
 };
-using Effect = std::variant<ForUpstreams, ForCallers, ForLinks, ForOperators>;
+using Effect = std::variant<ForUpstreams, ForCallers, ForLinks, ForOperators,
+                            WriteLog, StopAccepting, Finished>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -78,6 +78,12 @@
   bool up = false;
 };
 
+/// \brief Control state of another instance came over a link.
+struct GossipArrived {
+  InstanceId from;
+  std::string bytes;  ///< Opaque to the link duty.
+};
+
 /// \brief The instance has been told to stop gracefully.
 struct DrainRequested {};
 
@@ -87,7 +93,7 @@
 using Event =
     std::variant<RequestArrived, RequestAbandoned, AnswerTaken, AttemptAnswered,
                  AttemptBody, AttemptEnded, AttemptFailed, RulesArrived,
-                 LinkChanged, DrainRequested, Tick>;
+                 LinkChanged, GossipArrived, DrainRequested, Tick>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/request.h
+++ b/include/mimosagauge/impl/decisions/request.h
@@ -46,6 +46,8 @@
   ServiceId service;      ///< From the path; empty for models.
   ModelId model;          ///< Empty for plain services.
   std::string method;
+  std::string caller_path;      ///< As the caller gave it, without query; the
+                                ///< rules match on it.
   std::string target;           ///< For the upstream, with query.
   std::vector<Header> headers;  ///< End-to-end fields only.
   std::optional<IdempotencyKey> key;
