Decisions: the life of requests as one pure state machine

Cause: admission, choice of upstream, retry, resume, forwarding and drain need one place that decides them, testable without sockets. Change: the gateway state machine with its queue, retry budget, upstream table, problem documents and metrics. Ruled out: deciding in the duties, where the outcome of a request would be spread over threads.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -34,6 +34,10 @@
     1004, LogLevel::kWarning, "graceful shutdown ran out of time",
     "raise limits.drain or look for requests that do not end"};
 
+inline constexpr LogEvent kUpstreamEjected{
+    8001, LogLevel::kWarning, "upstream gets no new work for a while",
+    "look at the upstream; it failed several times in a row"};
+
 }  // namespace log_events
 
 /// \returns Every kind of log entry, by number.
--- /dev/null
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -0,0 +1,61 @@
+// What the decisions of one instance are told at the start.
+
+#ifndef MIMOSAGAUGE_IMPL_DECISIONS_CONFIG_H_
+#define MIMOSAGAUGE_IMPL_DECISIONS_CONFIG_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "mimosagauge/impl/core/endpoint.h"
+#include "mimosagauge/impl/core/ids.h"
+#include "mimosagauge/impl/core/time.h"
+#include "mimosagauge/impl/core/units.h"
+
+namespace mimosagauge {
+
+/// \brief An upstream of this instance's region.
+struct UpstreamConfig {
+  UpstreamId id;
+  ServiceId service;
+  ZoneId zone;
+  std::vector<ModelId> models;  ///< Empty for plain services.
+  std::size_t concurrency = 8;
+  bool honours_resume = false;
+};
+
+/// \brief Another instance.
+struct PeerConfig {
+  InstanceId id;
+  RegionId region;
+  ZoneId zone;
+  Endpoint entry;
+};
+
+/// \brief Bounds that the decisions keep.
+struct GatewayLimits {
+  std::size_t requests = 4096;  ///< In progress at once.
+  std::size_t queued = 1024;    ///< Of them, waiting for an upstream.
+  std::size_t attempts = 3;     ///< For one request, the first included.
+  Bytes stream_window = Kibibytes(16);
+  Duration default_due = std::chrono::seconds(60);
+  Duration drain = std::chrono::seconds(30);
+  /// From the start of a graceful shutdown until callers are refused: the
+  /// directory, the links and the callers learn of it meanwhile.
+  Duration leave_notice = std::chrono::seconds(3);
+};
+
+/// \brief The decisions' settings.
+struct GatewayConfig {
+  InstanceId instance;
+  RegionId region;
+  ZoneId zone;
+  Endpoint entry;
+  std::vector<UpstreamConfig> upstreams;
+  std::vector<PeerConfig> peers;
+  GatewayLimits limits;
+};
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_DECISIONS_CONFIG_H_
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -34,7 +34,7 @@
 struct StartLinkAttempt {
   AttemptNumber attempt;
   InstanceId instance;
-  RequestHeadPtr head;  ///< Its path ends with this instance.
+  RequestHeadPtr head;  ///< Its path holds all places passed, this one too.
   BodyPtr body;
   Duration remaining{};
   Bytes credit;
--- /dev/null
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -0,0 +1,97 @@
+// The life of requests in one instance: admitted, waiting, tried, answered.
+
+#ifndef MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_H_
+#define MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "mimosagauge/impl/decisions/config.h"
+#include "mimosagauge/impl/decisions/effects.h"
+#include "mimosagauge/impl/decisions/events.h"
+#include "mimosagauge/impl/decisions/gateway_metrics.h"
+#include "mimosagauge/impl/decisions/outcome.h"
+#include "mimosagauge/impl/decisions/retry_budget.h"
+#include "mimosagauge/impl/decisions/upstream_table.h"
+#include "mimosagauge/impl/decisions/waiting_queue.h"
+
+namespace mimosagauge {
+
+/// \brief One try to have a request run.
+struct Attempt {
+  AttemptNumber number;
+  std::variant<UpstreamId, InstanceId> target;
+};
+
+/// \brief A request in progress.
+struct RequestRecord {
+  RequestArrived arrival;
+  Verdict verdict;  ///< Under the rules in force at the last decision.
+  TimePoint arrived;
+  TimePoint due;
+  Outcome outcome;
+  std::vector<Place> passed;  ///< Places before and tried from here, in order.
+  std::size_t attempts = 0;   ///< Started so far.
+  std::optional<Attempt> running;     ///< At most one at a time.
+  std::optional<WaitingEntry> place;  ///< Set while it waits for an upstream.
+  bool resuming = false;  ///< The attempt continues an answer begun before.
+  std::optional<std::string> last_event_id;  ///< Passed on to the caller.
+  bool resumable = false;                    ///< The answer is a stream.
+  Bytes untaken;             ///< Sent to the other side and not taken yet.
+  std::string last_failure;  ///< Why the last attempt came to nothing.
+};
+
+/// \brief Another instance as this one sees it.
+struct PeerState {
+  PeerConfig config;
+  bool up = false;
+  bool leaving = false;
+};
+
+/// \brief Everything that the decisions of one instance know.
+struct Gateway {
+  GatewayConfig config;
+  std::shared_ptr<const RuleSet> rules;  ///< Null until the first arrive.
+  UpstreamTable upstreams;
+  std::vector<PeerState> peers;
+  /// Each request in progress; one is erased when its outcome is closed.
+  std::unordered_map<RequestNumber, RequestRecord> requests;
+  /// The running attempts; a number not in here is of the past, and events
+  /// that name it are discarded.
+  std::unordered_map<AttemptNumber, RequestNumber> attempts;
+  std::set<std::pair<TimePoint, RequestNumber>> deadlines;
+  WaitingQueue waiting;
+  std::unordered_map<ServiceId, RetryBudget> budgets;
+  AttemptNumber last_attempt;
+  std::optional<TimePoint> drain_began;
+  bool refusing = false;  ///< The leave notice is over.
+  bool finished = false;  ///< `Finished` has been said.
+  GatewayMetrics metrics;
+  TimePoint last_view{};
+  std::mt19937_64 random;
+};
+
+/// \param seed For everything that is drawn at random.
+[[nodiscard]] Gateway MakeGateway(GatewayConfig config, std::uint64_t seed);
+
+/// \brief Learns one event.
+/// \param now Never earlier than in the call before.
+/// \returns What is to be done, in order.
+[[nodiscard]] std::vector<Effect> Step(Gateway& gateway, TimePoint now,
+                                       Event event);
+
+/// \returns The picture to show to callers and operators.
+[[nodiscard]] InstanceView View(const Gateway& gateway, TimePoint now);
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_H_
--- /dev/null
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -0,0 +1,75 @@
+// Parts of the gateway state machine that its sources share.
+
+#ifndef MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
+#define MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
+
+#include <utility>
+#include <vector>
+
+#include "mimosagauge/impl/decisions/gateway.h"
+
+namespace mimosagauge::detail {
+
+/// \brief One call of `Step`: the state, the time and what is to be done.
+struct Turn {
+  Gateway& gateway;
+  TimePoint now;
+  std::vector<Effect>& effects;
+};
+
+/// \returns The metrics of the request's service; services that no upstream
+/// of this region has share one entry.
+[[nodiscard]] ServiceMetrics& MetricsOf(Gateway& gateway,
+                                        const RequestRecord& record);
+
+/// \returns The request, or null when it is of the past.
+[[nodiscard]] RequestRecord* FindRequest(Gateway& gateway,
+                                         RequestNumber number) noexcept;
+
+/// \brief Sends part of an answer by the duty that the request came in by.
+template <typename AnswerPart>
+void Answer(Turn& turn, const RequestRecord& record, AnswerPart part) {
+  part.number = record.arrival.number;
+  if (record.arrival.origin == Origin::kCaller) {
+    turn.effects.emplace_back(ForCallers{std::move(part)});
+  } else {
+    turn.effects.emplace_back(ForLinks{std::move(part)});
+  }
+}
+
+/// \brief Tells the other side that there is no answer, or breaks one off
+/// that has begun; the request is of the past afterwards.
+///
+/// The problem's `run` becomes what is known of the request.
+void Refuse(Turn& turn, RequestRecord& record, Problem problem);
+
+/// \brief Forgets a request; a running attempt is cancelled.
+void Close(Turn& turn, RequestNumber number);
+
+/// \brief Gives up the running attempt, if any, without a word on its target.
+void CancelRunning(Turn& turn, RequestRecord& record);
+
+/// \brief Finds a place for the request: an upstream, another instance, or the
+/// waiting queue; else refuses it.
+void Place(Turn& turn, RequestNumber number);
+
+/// \brief Tries the first requests in line again.
+void Dispatch(Turn& turn);
+
+/// \brief One overload for each event.
+void Handle(Turn& turn, RequestArrived&& event);
+void Handle(Turn& turn, RequestAbandoned&& event);
+void Handle(Turn& turn, AnswerTaken&& event);
+void Handle(Turn& turn, RulesArrived&& event);
+void Handle(Turn& turn, LinkChanged&& event);
+void Handle(Turn& turn, GossipArrived&& event);
+void Handle(Turn& turn, DrainRequested&& event);
+void Handle(Turn& turn, Tick&& event);
+void Handle(Turn& turn, AttemptAnswered&& event);
+void Handle(Turn& turn, AttemptBody&& event);
+void Handle(Turn& turn, AttemptEnded&& event);
+void Handle(Turn& turn, AttemptFailed&& event);
+
+}  // namespace mimosagauge::detail
+
+#endif  // MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
--- a/include/mimosagauge/impl/decisions/request.h
+++ b/include/mimosagauge/impl/decisions/request.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/run_state.h"
 #include "mimosagauge/impl/core/time.h"
+#include "mimosagauge/impl/rules/verdict.h"
 
 namespace mimosagauge {
 
@@ -58,6 +59,9 @@
   bool stream = false;      ///< The caller asked for server-sent events.
 };
 
+/// \returns What the rules match on.
+[[nodiscard]] RequestTraits TraitsOf(const RequestHead& head);
+
 using RequestHeadPtr = std::shared_ptr<const RequestHead>;
 using BodyPtr = std::shared_ptr<const std::string>;
 
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -8,10 +8,9 @@
 namespace {
 
 constexpr std::array kCatalogue{
-    log_events::kStarted,
-    log_events::kDraining,
-    log_events::kStopped,
-    log_events::kDrainTimeout,
+    log_events::kStarted,         log_events::kDraining,
+    log_events::kStopped,         log_events::kDrainTimeout,
+    log_events::kUpstreamEjected,
 };
 
 }  // namespace
--- /dev/null
+++ b/src/decisions/gateway.cc
@@ -0,0 +1,339 @@
+// The gateway state machine: events other than those of attempts.
+
+#include "mimosagauge/impl/decisions/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mimosagauge/impl/decisions/gateway_detail.h"
+#include "mimosagauge/impl/decisions/problems.h"
+
+namespace mimosagauge {
+namespace detail {
+namespace {
+
+constexpr Duration kViewInterval = std::chrono::milliseconds(250);
+constexpr Duration kEntriesGoodFor = std::chrono::seconds(2);
+
+[[nodiscard]] ::mimosagauge::Place Here(const Gateway& gateway) {
+  return {gateway.config.region, gateway.config.instance.value()};
+}
+
+[[nodiscard]] bool MayTravel(const Gateway& gateway, const RequestHead& head) {
+  const auto here = Here(gateway);
+  return head.path.size() < kMaxPlaces &&
+         std::find(head.path.begin(), head.path.end(), here) == head.path.end();
+}
+
+[[nodiscard]] TimePoint DueTime(const Gateway& gateway, const Verdict& verdict,
+                                const RequestHead& head, TimePoint now) {
+  Duration due = verdict.due.value_or(gateway.config.limits.default_due);
+  if (head.remaining > Duration::zero()) {
+    due = std::min(due, head.remaining);
+  }
+  return now + due;
+}
+
+// A request that is refused on arrival has no record yet.
+void RefuseArrival(Turn& turn, const RequestArrived& arrival, Problem problem) {
+  RequestRecord record;
+  record.arrival = arrival;
+  ServiceMetrics& metrics = MetricsOf(turn.gateway, record);
+  ++metrics.requests;
+  ++metrics.refused[problem.type];
+  Answer(turn, record, SendProblem{{}, std::move(problem)});
+}
+
+void ExpireRequests(Turn& turn) {
+  Gateway& gateway = turn.gateway;
+  while (!gateway.deadlines.empty() &&
+         gateway.deadlines.begin()->first <= turn.now) {
+    const RequestNumber number = gateway.deadlines.begin()->second;
+    gateway.deadlines.erase(gateway.deadlines.begin());
+    RequestRecord* record = FindRequest(gateway, number);
+    // An answer that is under way is brought to its end, though it is late.
+    if (record == nullptr ||
+        (record->outcome.phase != AnswerPhase::kOpen && !record->place)) {
+      continue;
+    }
+    CancelRunning(turn, *record);
+    Refuse(turn, *record, DueTimePassed(record->outcome.run));
+  }
+}
+
+void CutOff(Turn& turn) {
+  std::vector<RequestNumber> numbers;
+  for (const auto& [number, record] : turn.gateway.requests) {
+    numbers.push_back(number);
+  }
+  std::sort(numbers.begin(), numbers.end());
+  for (const RequestNumber number : numbers) {
+    RequestRecord& record = turn.gateway.requests.at(number);
+    CancelRunning(turn, record);
+    Refuse(turn, record, Stopping(record.outcome.run));
+  }
+}
+
+void ContinueDrain(Turn& turn) {
+  Gateway& gateway = turn.gateway;
+  if (!gateway.drain_began || gateway.finished) {
+    return;
+  }
+  const Duration draining = turn.now - *gateway.drain_began;
+  if (!gateway.refusing && draining >= gateway.config.limits.leave_notice) {
+    gateway.refusing = true;
+    turn.effects.emplace_back(StopAccepting{});
+  }
+  if (!gateway.refusing) {
+    return;
+  }
+  const bool in_time = gateway.requests.empty();
+  if (!in_time && draining < gateway.config.limits.drain) {
+    return;
+  }
+  if (!in_time) {
+    turn.effects.emplace_back(WriteLog{log_events::kDrainTimeout, {}});
+    CutOff(turn);
+  }
+  gateway.finished = true;
+  turn.effects.emplace_back(Finished{in_time});
+}
+
+void PublishViews(Turn& turn) {
+  Gateway& gateway = turn.gateway;
+  const bool first = gateway.last_view == TimePoint{};
+  if (!first && turn.now - gateway.last_view < kViewInterval) {
+    return;
+  }
+  gateway.last_view = turn.now;
+  auto view = std::make_shared<const InstanceView>(View(gateway, turn.now));
+  turn.effects.emplace_back(ForCallers{PublishView{view}});
+  turn.effects.emplace_back(ForOperators{PublishView{std::move(view)}});
+}
+
+[[nodiscard]] int Distance(const Gateway& gateway, const RegionId& region,
+                           const ZoneId& zone) {
+  if (region != gateway.config.region) {
+    return 2;
+  }
+  return zone == gateway.config.zone ? 0 : 1;
+}
+
+[[nodiscard]] std::vector<EntryInstance> Entries(const Gateway& gateway) {
+  std::vector<EntryInstance> entries;
+  if (!gateway.drain_began) {
+    const GatewayConfig& self = gateway.config;
+    entries.push_back({self.instance, self.region, self.zone, self.entry});
+  }
+  for (const PeerState& peer : gateway.peers) {
+    if (peer.up && !peer.leaving) {
+      const PeerConfig& config = peer.config;
+      entries.push_back({config.id, config.region, config.zone, config.entry});
+    }
+  }
+  std::stable_sort(entries.begin(), entries.end(),
+                   [&](const EntryInstance& a, const EntryInstance& b) {
+                     return Distance(gateway, a.region, a.zone) <
+                            Distance(gateway, b.region, b.zone);
+                   });
+  return entries;
+}
+
+[[nodiscard]] std::string_view StateName(const UpstreamState& upstream,
+                                         TimePoint now) {
+  if (upstream.leaving) {
+    return "leaving";
+  }
+  return upstream.ejected_until > now ? "ejected" : "live";
+}
+
+}  // namespace
+
+void Handle(Turn& turn, RequestArrived&& arrival) {
+  Gateway& gateway = turn.gateway;
+  if (gateway.refusing) {
+    return RefuseArrival(turn, arrival, Stopping(RunState::kNotRun));
+  }
+  if (gateway.rules == nullptr) {
+    return RefuseArrival(turn, arrival, NotReady());
+  }
+  if (!MayTravel(gateway, *arrival.head)) {
+    return RefuseArrival(turn, arrival, PathRefused(*arrival.head));
+  }
+  if (gateway.requests.size() >= gateway.config.limits.requests) {
+    return RefuseArrival(turn, arrival, Overloaded(RunState::kNotRun));
+  }
+  RequestRecord record;
+  record.verdict = Decide(*gateway.rules, TraitsOf(*arrival.head));
+  record.arrived = turn.now;
+  record.due = DueTime(gateway, record.verdict, *arrival.head, turn.now);
+  record.passed = arrival.head->path;
+  record.passed.push_back(Here(gateway));
+  record.arrival = std::move(arrival);
+  const RequestNumber number = record.arrival.number;
+  ++MetricsOf(gateway, record).requests;
+  Earn(gateway.budgets[record.verdict.service]);
+  gateway.deadlines.emplace(record.due, number);
+  gateway.requests.emplace(number, std::move(record));
+  Place(turn, number);
+}
+
+void Handle(Turn& turn, RequestAbandoned&& event) { Close(turn, event.number); }
+
+void Handle(Turn& turn, AnswerTaken&& event) {
+  RequestRecord* record = FindRequest(turn.gateway, event.number);
+  if (record == nullptr) {
+    return;
+  }
+  record->untaken -= event.bytes;
+  if (!record->running) {
+    return;
+  }
+  const CreditAttempt credit{record->running->number, event.bytes};
+  if (std::holds_alternative<UpstreamId>(record->running->target)) {
+    turn.effects.emplace_back(ForUpstreams{credit});
+  } else {
+    turn.effects.emplace_back(ForLinks{credit});
+  }
+}
+
+void Handle(Turn& turn, RulesArrived&& event) {
+  Gateway& gateway = turn.gateway;
+  const bool newer = gateway.rules == nullptr ||
+                     gateway.rules->revision < event.rules->revision;
+  if (!newer) {
+    return;
+  }
+  gateway.rules = std::move(event.rules);
+  gateway.last_view = TimePoint{};
+}
+
+void Handle(Turn& turn, LinkChanged&& event) {
+  for (PeerState& peer : turn.gateway.peers) {
+    if (peer.config.id == event.instance) {
+      peer.up = event.up;
+    }
+  }
+}
+
+void Handle(Turn&, GossipArrived&&) {}
+
+void Handle(Turn& turn, DrainRequested&&) {
+  Gateway& gateway = turn.gateway;
+  if (gateway.drain_began) {
+    return;
+  }
+  gateway.drain_began = turn.now;
+  gateway.last_view = TimePoint{};
+  turn.effects.emplace_back(WriteLog{log_events::kDraining, {}});
+}
+
+void Handle(Turn&, Tick&&) {}
+
+ServiceMetrics& MetricsOf(Gateway& gateway, const RequestRecord& record) {
+  const ServiceId& service = record.verdict.service;
+  const auto known = std::any_of(gateway.upstreams.upstreams.begin(),
+                                 gateway.upstreams.upstreams.end(),
+                                 [&](const UpstreamState& state) {
+                                   return state.config.service == service;
+                                 });
+  static const ServiceId kOther("other");
+  return gateway.metrics.services[known ? service : kOther];
+}
+
+RequestRecord* FindRequest(Gateway& gateway, RequestNumber number) noexcept {
+  const auto found = gateway.requests.find(number);
+  return found == gateway.requests.end() ? nullptr : &found->second;
+}
+
+void CancelRunning(Turn& turn, RequestRecord& record) {
+  if (!record.running) {
+    return;
+  }
+  const Attempt attempt = *record.running;
+  record.running.reset();
+  turn.gateway.attempts.erase(attempt.number);
+  // It may have been given to an upstream already.
+  Learn(record.outcome, RunState::kUnknown);
+  if (const auto* upstream = std::get_if<UpstreamId>(&attempt.target)) {
+    DropWork(turn.gateway.upstreams, *upstream);
+    turn.effects.emplace_back(ForUpstreams{CancelAttempt{attempt.number}});
+  } else {
+    turn.effects.emplace_back(ForLinks{CancelAttempt{attempt.number}});
+  }
+}
+
+void Close(Turn& turn, RequestNumber number) {
+  RequestRecord* record = FindRequest(turn.gateway, number);
+  if (record == nullptr) {
+    return;
+  }
+  CancelRunning(turn, *record);
+  if (record->place) {
+    Dequeue(turn.gateway.waiting, *record->place);
+  }
+  turn.gateway.deadlines.erase({record->due, number});
+  turn.gateway.requests.erase(number);
+}
+
+void Refuse(Turn& turn, RequestRecord& record, Problem problem) {
+  const bool begun = record.outcome.phase == AnswerPhase::kAnswering;
+  if (!Advance(record.outcome, AnswerPhase::kClosed)) {
+    return;
+  }
+  problem.run = record.outcome.run;
+  ServiceMetrics& metrics = MetricsOf(turn.gateway, record);
+  if (begun) {
+    ++metrics.broken;
+    Answer(turn, record, AbortAnswer{{}, std::move(problem)});
+  } else {
+    ++metrics.refused[problem.type];
+    Answer(turn, record, SendProblem{{}, std::move(problem)});
+  }
+  Close(turn, record.arrival.number);
+}
+
+}  // namespace detail
+
+Gateway MakeGateway(GatewayConfig config, std::uint64_t seed) {
+  Gateway gateway;
+  gateway.upstreams = MakeUpstreamTable(config.upstreams);
+  for (const PeerConfig& peer : config.peers) {
+    gateway.peers.push_back({peer, false, false});
+  }
+  gateway.waiting.capacity = config.limits.queued;
+  gateway.config = std::move(config);
+  gateway.random.seed(seed);
+  return gateway;
+}
+
+std::vector<Effect> Step(Gateway& gateway, TimePoint now, Event event) {
+  std::vector<Effect> effects;
+  detail::Turn turn{gateway, now, effects};
+  detail::ExpireRequests(turn);
+  std::visit([&turn](auto&& typed) { detail::Handle(turn, std::move(typed)); },
+             std::move(event));
+  detail::Dispatch(turn);
+  detail::ContinueDrain(turn);
+  detail::PublishViews(turn);
+  return effects;
+}
+
+InstanceView View(const Gateway& gateway, TimePoint now) {
+  InstanceView view;
+  view.draining = gateway.drain_began.has_value();
+  view.ready = gateway.rules != nullptr && !view.draining;
+  view.rules = gateway.rules;
+  view.entries = detail::Entries(gateway);
+  view.entries_good_for = detail::kEntriesGoodFor;
+  for (const UpstreamState& upstream : gateway.upstreams.upstreams) {
+    view.upstreams.push_back({upstream.config.id, upstream.config.service,
+                              upstream.config.zone,
+                              std::string(detail::StateName(upstream, now)),
+                              upstream.in_flight, upstream.limit});
+  }
+  view.metrics = PrometheusText(gateway.metrics);
+  return view;
+}
+
+}  // namespace mimosagauge
--- /dev/null
+++ b/src/decisions/gateway_attempts.cc
@@ -0,0 +1,227 @@
+// What becomes of attempts: answers passed on, failures tried again or told.
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <utility>
+
+#include "mimosagauge/impl/decisions/gateway_detail.h"
+#include "mimosagauge/impl/decisions/problems.h"
+
+namespace mimosagauge::detail {
+namespace {
+
+constexpr std::uint16_t kOk = 200;
+constexpr std::array<std::uint16_t, 3> kTemporaryStatuses{502, 503, 504};
+
+// The request whose running attempt this is; null when it is of the past.
+[[nodiscard]] RequestRecord* FindRunning(Gateway& gateway,
+                                         AttemptNumber attempt) {
+  const auto found = gateway.attempts.find(attempt);
+  if (found == gateway.attempts.end()) {
+    ++gateway.metrics.discarded;
+    return nullptr;
+  }
+  return FindRequest(gateway, found->second);
+}
+
+[[nodiscard]] bool IsEventStream(const AnswerHead& head) {
+  return std::any_of(
+      head.headers.begin(), head.headers.end(), [](const Header& header) {
+        return boost::iequals(header.name, "content-type") &&
+               boost::istarts_with(header.value, "text/event-stream");
+      });
+}
+
+[[nodiscard]] bool IsTemporary(std::uint16_t status) {
+  return std::find(kTemporaryStatuses.begin(), kTemporaryStatuses.end(),
+                   status) != kTemporaryStatuses.end();
+}
+
+[[nodiscard]] bool OnUpstream(const RequestRecord& record) {
+  return std::holds_alternative<UpstreamId>(record.running->target);
+}
+
+// Ends the running attempt; `finish` says what it means for its upstream.
+template <typename Finish>
+void FinishAttempt(Turn& turn, RequestRecord& record, Finish&& finish) {
+  const Attempt attempt = *record.running;
+  record.running.reset();
+  turn.gateway.attempts.erase(attempt.number);
+  if (const auto* upstream = std::get_if<UpstreamId>(&attempt.target)) {
+    finish(*upstream);
+  }
+}
+
+void NoteFailure(Turn& turn, const UpstreamId& id) {
+  if (FailWork(turn.gateway.upstreams, id, turn.now)) {
+    turn.effects.emplace_back(
+        WriteLog{log_events::kUpstreamEjected, {{"upstream", id.value()}}});
+  }
+}
+
+[[nodiscard]] bool HasTimeAndAttempts(const Turn& turn,
+                                      const RequestRecord& record) {
+  return record.attempts < turn.gateway.config.limits.attempts &&
+         record.due > turn.now;
+}
+
+// `run` is what is known of the attempt that just failed.
+[[nodiscard]] bool MayRetry(Turn& turn, const RequestRecord& record,
+                            RunState run) {
+  if (!HasTimeAndAttempts(turn, record)) {
+    return false;
+  }
+  if (run == RunState::kNotRun) {
+    return true;
+  }
+  return record.verdict.idempotent &&
+         Spend(turn.gateway.budgets[record.verdict.service]);
+}
+
+[[nodiscard]] bool MayResume(Turn& turn, const RequestRecord& record) {
+  return record.resumable && record.verdict.idempotent &&
+         HasTimeAndAttempts(turn, record) &&
+         Spend(turn.gateway.budgets[record.verdict.service]);
+}
+
+[[nodiscard]] Problem FailureProblem(RequestRecord& record,
+                                     std::optional<Problem> given) {
+  if (given) {
+    return std::move(*given);
+  }
+  return AttemptsFailed(record.last_failure, record.outcome.run);
+}
+
+void Resume(Turn& turn, RequestRecord& record) {
+  record.resuming = true;
+  ++MetricsOf(turn.gateway, record).resumed;
+  Place(turn, record.arrival.number);
+}
+
+void AfterFailure(Turn& turn, RequestRecord& record, RunState run,
+                  std::optional<Problem> problem) {
+  if (record.outcome.phase == AnswerPhase::kAnswering) {
+    if (MayResume(turn, record)) {
+      return Resume(turn, record);
+    }
+    return Refuse(turn, record,
+                  AttemptsFailed(record.last_failure, record.outcome.run));
+  }
+  if (MayRetry(turn, record, run)) {
+    return Place(turn, record.arrival.number);
+  }
+  Refuse(turn, record, FailureProblem(record, std::move(problem)));
+}
+
+void AnswerBegins(Turn& turn, RequestRecord& record, AnswerHead&& head) {
+  if (!Advance(record.outcome, AnswerPhase::kAnswering)) {
+    return;
+  }
+  if (OnUpstream(record)) {
+    head.path = record.passed;
+    record.resumable = IsEventStream(head);
+  }
+  MetricsOf(turn.gateway, record).first_byte.Observe(turn.now - record.arrived);
+  Answer(turn, record, SendAnswerHead{{}, std::move(head)});
+}
+
+// The upstream said that it cannot answer now; another one may.
+[[nodiscard]] bool TryElsewhere(Turn& turn, RequestRecord& record,
+                                std::uint16_t status) {
+  if (!IsTemporary(status) || !OnUpstream(record)) {
+    return false;
+  }
+  UpstreamNeed need{record.verdict.service, record.arrival.head->model, false,
+                    record.passed};
+  if (!CanServe(turn.gateway.upstreams, need, turn.gateway.config.region,
+                turn.now) ||
+      !MayRetry(turn, record, RunState::kRan)) {
+    return false;
+  }
+  const AttemptNumber number = record.running->number;
+  turn.effects.emplace_back(ForUpstreams{CancelAttempt{number}});
+  FinishAttempt(turn, record,
+                [&](const UpstreamId& id) { NoteFailure(turn, id); });
+  record.last_failure = "the upstream answered that it is unavailable";
+  Place(turn, record.arrival.number);
+  return true;
+}
+
+void FailResumption(Turn& turn, RequestRecord& record) {
+  CancelRunning(turn, record);
+  record.last_failure = "the stream could not be continued elsewhere";
+  Refuse(turn, record, AttemptsFailed(record.last_failure, record.outcome.run));
+}
+
+}  // namespace
+
+void Handle(Turn& turn, AttemptAnswered&& event) {
+  RequestRecord* record = FindRunning(turn.gateway, event.attempt);
+  if (record == nullptr) {
+    return;
+  }
+  Learn(record->outcome, RunState::kRan);
+  if (record->outcome.phase == AnswerPhase::kAnswering) {
+    const bool continued = record->resuming && event.head.status == kOk &&
+                           IsEventStream(event.head);
+    if (!continued) {
+      FailResumption(turn, *record);
+    }
+    return;
+  }
+  if (!TryElsewhere(turn, *record, event.head.status)) {
+    AnswerBegins(turn, *record, std::move(event.head));
+  }
+}
+
+void Handle(Turn& turn, AttemptBody&& event) {
+  RequestRecord* record = FindRunning(turn.gateway, event.attempt);
+  if (record == nullptr || record->outcome.phase != AnswerPhase::kAnswering) {
+    return;
+  }
+  record->untaken += Bytes{event.data.size()};
+  if (event.last_event_id) {
+    record->last_event_id = event.last_event_id;
+  }
+  Answer(turn, *record,
+         SendAnswerBody{
+             {}, std::move(event.data), std::move(event.last_event_id)});
+}
+
+void Handle(Turn& turn, AttemptEnded&& event) {
+  RequestRecord* record = FindRunning(turn.gateway, event.attempt);
+  if (record == nullptr) {
+    return;
+  }
+  FinishAttempt(turn, *record, [&](const UpstreamId& id) {
+    EndWork(turn.gateway.upstreams, id);
+  });
+  if (record->outcome.phase != AnswerPhase::kAnswering) {
+    record->last_failure = "the answer ended before it began";
+    return Refuse(turn, *record,
+                  AttemptsFailed(record->last_failure, record->outcome.run));
+  }
+  if (!Advance(record->outcome, AnswerPhase::kClosed)) {
+    return;
+  }
+  ServiceMetrics& metrics = MetricsOf(turn.gateway, *record);
+  ++metrics.answered;
+  metrics.total.Observe(turn.now - record->arrived);
+  Answer(turn, *record, SendAnswerEnd{});
+  Close(turn, record->arrival.number);
+}
+
+void Handle(Turn& turn, AttemptFailed&& event) {
+  RequestRecord* record = FindRunning(turn.gateway, event.attempt);
+  if (record == nullptr) {
+    return;
+  }
+  Learn(record->outcome, event.run);
+  record->last_failure = event.error.message;
+  FinishAttempt(turn, *record,
+                [&](const UpstreamId& id) { NoteFailure(turn, id); });
+  AfterFailure(turn, *record, event.run, std::move(event.problem));
+}
+
+}  // namespace mimosagauge::detail
--- /dev/null
+++ b/src/decisions/gateway_metrics.cc
@@ -0,0 +1,126 @@
+// Collection and printing of the decisions' metrics.
+
+#include "mimosagauge/impl/decisions/gateway_metrics.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+namespace mimosagauge {
+namespace {
+
+using Counter = std::uint64_t ServiceMetrics::*;
+
+struct CounterName {
+  std::string_view name;
+  std::string_view help;
+  Counter counter;
+};
+
+constexpr std::array kCounters{
+    CounterName{"requests", "Requests that came in.",
+                &ServiceMetrics::requests},
+    CounterName{"answered", "Answers passed on whole.",
+                &ServiceMetrics::answered},
+    CounterName{"broken", "Answers broken off.", &ServiceMetrics::broken},
+    CounterName{"retries", "Attempts after the first.",
+                &ServiceMetrics::retries},
+    CounterName{"resumed", "Streams continued on another upstream.",
+                &ServiceMetrics::resumed},
+    CounterName{"forwarded", "Requests given to another region.",
+                &ServiceMetrics::forwarded},
+};
+
+void AppendCounters(std::string& text, const GatewayMetrics& metrics) {
+  auto out = std::back_inserter(text);
+  for (const CounterName& counter : kCounters) {
+    fmt::format_to(out, "# HELP mimosagauge_{0}_total {1}\n", counter.name,
+                   counter.help);
+    fmt::format_to(out, "# TYPE mimosagauge_{0}_total counter\n", counter.name);
+    for (const auto& [service, values] : metrics.services) {
+      fmt::format_to(out, "mimosagauge_{}_total{{service=\"{}\"}} {}\n",
+                     counter.name, service.value(), values.*counter.counter);
+    }
+  }
+}
+
+void AppendRefusals(std::string& text, const GatewayMetrics& metrics) {
+  auto out = std::back_inserter(text);
+  text +=
+      "# HELP mimosagauge_refused_total Requests answered with a problem.\n"
+      "# TYPE mimosagauge_refused_total counter\n";
+  for (const auto& [service, values] : metrics.services) {
+    for (const auto& [type, count] : values.refused) {
+      fmt::format_to(
+          out, "mimosagauge_refused_total{{service=\"{}\",type=\"{}\"}} {}\n",
+          service.value(), type, count);
+    }
+  }
+}
+
+void AppendSummary(std::string& text, const GatewayMetrics& metrics,
+                   std::string_view name, std::string_view help,
+                   TimeSummary ServiceMetrics::*summary) {
+  auto out = std::back_inserter(text);
+  fmt::format_to(out, "# HELP mimosagauge_{0}_seconds {1}\n", name, help);
+  fmt::format_to(out, "# TYPE mimosagauge_{0}_seconds summary\n", name);
+  for (const auto& [service, values] : metrics.services) {
+    const TimeSummary& times = values.*summary;
+    for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
+      fmt::format_to(
+          out,
+          "mimosagauge_{}_seconds{{service=\"{}\",quantile=\"{}\"}} {:.6f}\n",
+          name, service.value(), kQuantiles[i], times.quantile(i));
+    }
+    fmt::format_to(out,
+                   "mimosagauge_{0}_seconds_sum{{service=\"{1}\"}} {2:.6f}\n"
+                   "mimosagauge_{0}_seconds_count{{service=\"{1}\"}} {3}\n",
+                   name, service.value(), times.sum(), times.count());
+  }
+}
+
+}  // namespace
+
+TimeSummary::TimeSummary()
+    : accumulator_(boost::accumulators::extended_p_square_probabilities =
+                       kQuantiles) {}
+
+void TimeSummary::Observe(Duration duration) {
+  accumulator_(std::chrono::duration<double>(duration).count());
+}
+
+std::uint64_t TimeSummary::count() const {
+  return boost::accumulators::count(accumulator_);
+}
+
+double TimeSummary::sum() const {
+  return boost::accumulators::sum(accumulator_);
+}
+
+double TimeSummary::quantile(std::size_t i) const {
+  if (count() == 0) {
+    return 0.0;
+  }
+  return boost::accumulators::extended_p_square(
+      accumulator_)[static_cast<std::ptrdiff_t>(i)];
+}
+
+std::string PrometheusText(const GatewayMetrics& metrics) {
+  std::string text;
+  AppendCounters(text, metrics);
+  AppendRefusals(text, metrics);
+  AppendSummary(text, metrics, "first_byte",
+                "Time from arrival to the answer's first byte.",
+                &ServiceMetrics::first_byte);
+  AppendSummary(text, metrics, "total",
+                "Time from arrival to the answer's end.",
+                &ServiceMetrics::total);
+  text +=
+      "# HELP mimosagauge_discarded_total Late events of past attempts.\n"
+      "# TYPE mimosagauge_discarded_total counter\n";
+  fmt::format_to(std::back_inserter(text), "mimosagauge_discarded_total {}\n",
+                 metrics.discarded);
+  return text;
+}
+
+}  // namespace mimosagauge
--- /dev/null
+++ b/src/decisions/gateway_place.cc
@@ -0,0 +1,183 @@
+// Where a request goes: an upstream of this region, another instance, or the
+// waiting queue.
+
+#include <algorithm>
+#include <utility>
+
+#include "mimosagauge/impl/decisions/gateway_detail.h"
+#include "mimosagauge/impl/decisions/problems.h"
+
+namespace mimosagauge::detail {
+namespace {
+
+// Requests tried again per event; the rest of the queue waits behind them.
+constexpr std::size_t kDispatchWidth = 8;
+
+[[nodiscard]] UpstreamNeed NeedOf(const RequestRecord& record) {
+  return {record.verdict.service, record.arrival.head->model, record.resuming,
+          record.passed};
+}
+
+[[nodiscard]] Bytes Window(const Gateway& gateway,
+                           const RequestRecord& record) {
+  return gateway.config.limits.stream_window - record.untaken;
+}
+
+AttemptNumber BeginAttempt(Turn& turn, RequestRecord& record,
+                           std::variant<UpstreamId, InstanceId> target,
+                           ::mimosagauge::Place place) {
+  Gateway& gateway = turn.gateway;
+  gateway.last_attempt = gateway.last_attempt.next();
+  const AttemptNumber number = gateway.last_attempt;
+  gateway.attempts.emplace(number, record.arrival.number);
+  record.running = Attempt{number, std::move(target)};
+  record.passed.push_back(std::move(place));
+  ++record.attempts;
+  if (record.attempts > 1) {
+    ++MetricsOf(gateway, record).retries;
+  }
+  if (record.place) {
+    Dequeue(gateway.waiting, *record.place);
+    record.place.reset();
+  }
+  return number;
+}
+
+void StartOnUpstream(Turn& turn, RequestRecord& record, const UpstreamId& id) {
+  Gateway& gateway = turn.gateway;
+  StartUpstreamAttempt start;
+  start.attempt =
+      BeginAttempt(turn, record, id, {gateway.config.region, id.value()});
+  start.upstream = id;
+  start.head = record.arrival.head;
+  start.body = record.arrival.body;
+  start.remaining = record.due - turn.now;
+  start.credit = Window(gateway, record);
+  start.last_event_id = record.last_event_id;
+  BeginWork(gateway.upstreams, id);
+  turn.effects.emplace_back(ForUpstreams{std::move(start)});
+}
+
+void StartOnInstance(Turn& turn, RequestRecord& record,
+                     const PeerConfig& peer) {
+  auto head = std::make_shared<RequestHead>(*record.arrival.head);
+  head->path = record.passed;
+  head->revision = turn.gateway.rules->revision;
+  head->remaining = record.due - turn.now;
+  StartLinkAttempt start;
+  start.attempt =
+      BeginAttempt(turn, record, peer.id, {peer.region, peer.id.value()});
+  start.instance = peer.id;
+  start.remaining = head->remaining;
+  start.head = std::move(head);
+  start.body = record.arrival.body;
+  start.credit = Window(turn.gateway, record);
+  ++MetricsOf(turn.gateway, record).forwarded;
+  turn.effects.emplace_back(ForLinks{std::move(start)});
+}
+
+[[nodiscard]] bool HasPassed(const RequestRecord& record,
+                             const PeerConfig& peer) {
+  const ::mimosagauge::Place place{peer.region, peer.id.value()};
+  return std::find(record.passed.begin(), record.passed.end(), place) !=
+         record.passed.end();
+}
+
+// Only the instance that a caller asked passes a request on, so no request
+// travels over more than one link.
+[[nodiscard]] bool MayForward(const RequestRecord& record) {
+  return record.arrival.origin == Origin::kCaller && !record.resuming &&
+         record.passed.size() < kMaxPlaces - 1;
+}
+
+[[nodiscard]] const PeerConfig* ChoosePeer(Gateway& gateway,
+                                           const RequestRecord& record) {
+  if (!MayForward(record)) {
+    return nullptr;
+  }
+  std::vector<const PeerConfig*> candidates;
+  for (const PeerState& peer : gateway.peers) {
+    const bool elsewhere = peer.config.region != gateway.config.region;
+    if (elsewhere && peer.up && !peer.leaving &&
+        AllowsRegion(record.verdict, peer.config.region) &&
+        !HasPassed(record, peer.config)) {
+      candidates.push_back(&peer.config);
+    }
+  }
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
+  return candidates[pick(gateway.random)];
+}
+
+void Wait(Turn& turn, RequestRecord& record) {
+  if (record.place) {
+    return;
+  }
+  const RequestNumber number = record.arrival.number;
+  record.place = WaitingEntry{record.verdict.priority, record.due, number};
+  const auto loser = Enqueue(turn.gateway.waiting, *record.place);
+  if (!loser) {
+    return;
+  }
+  RequestRecord& refused = turn.gateway.requests.at(*loser);
+  refused.place.reset();
+  Refuse(turn, refused, Overloaded(refused.outcome.run));
+}
+
+void RefusePlace(Turn& turn, RequestRecord& record) {
+  const RequestHead& head = *record.arrival.head;
+  const RunState run = record.outcome.run;
+  if (record.attempts > 0) {
+    return Refuse(turn, record, AttemptsFailed(record.last_failure, run));
+  }
+  if (record.verdict.regions) {
+    return Refuse(turn, record, ResidencyUnserved(head, run));
+  }
+  Refuse(turn, record, NoCapacity(head, run));
+}
+
+}  // namespace
+
+void Place(Turn& turn, RequestNumber number) {
+  Gateway& gateway = turn.gateway;
+  RequestRecord& record = gateway.requests.at(number);
+  // Decided anew each time: the rules may have changed while it waited.
+  record.verdict = Decide(*gateway.rules, TraitsOf(*record.arrival.head));
+  if (record.verdict.service.empty()) {
+    return Refuse(turn, record, NoService(*record.arrival.head));
+  }
+  const RegionId& region = gateway.config.region;
+  const UpstreamNeed need = NeedOf(record);
+  const bool here = AllowsRegion(record.verdict, region);
+  if (here) {
+    const auto upstream = ChooseUpstream(gateway.upstreams, need,
+                                         gateway.config.zone, region, turn.now);
+    if (upstream) {
+      return StartOnUpstream(turn, record, *upstream);
+    }
+    if (CanServe(gateway.upstreams, need, region, turn.now)) {
+      return Wait(turn, record);
+    }
+  }
+  if (const PeerConfig* peer = ChoosePeer(gateway, record)) {
+    return StartOnInstance(turn, record, *peer);
+  }
+  if (here && CanServeLater(gateway.upstreams, need, region)) {
+    return Wait(turn, record);
+  }
+  RefusePlace(turn, record);
+}
+
+void Dispatch(Turn& turn) {
+  for (const RequestNumber number :
+       First(turn.gateway.waiting, kDispatchWidth)) {
+    // An earlier one in this loop may have pushed it out.
+    if (FindRequest(turn.gateway, number) != nullptr) {
+      Place(turn, number);
+    }
+  }
+}
+
+}  // namespace mimosagauge::detail
--- a/src/decisions/request.cc
+++ b/src/decisions/request.cc
@@ -1,4 +1,4 @@
-// Texts of places.
+// Texts of places and the traits of requests.
 
 #include "mimosagauge/impl/decisions/request.h"
 
@@ -8,4 +8,9 @@
   return place.region.value() + "/" + place.name;
 }
 
+RequestTraits TraitsOf(const RequestHead& head) {
+  return {head.service,     head.model,   head.method,
+          head.caller_path, head.account, head.entry_region};
+}
+
 }  // namespace mimosagauge
