--- a/include/mimosagauge/impl/duties/log.h
+++ b/include/mimosagauge/impl/duties/log.h
@@ -6,6 +6,8 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "mimosagauge/impl/core/log_catalogue.h"
 
@@ -30,6 +32,9 @@
 /// Log(log_events::kStarted, {{"instance", settings.instance.value()}});
 /// \endcode
 void Log(const LogEvent& event, std::initializer_list<LogField> fields = {});
+/// \brief The same, for fields collected before: names and values.
+void Log(const LogEvent& event,
+         const std::vector<std::pair<std::string, std::string>>& fields);
 
 }  // namespace mimosagauge
 
--- /dev/null
+++ b/src/duties/decisions_duty.cc
@@ -0,0 +1,73 @@
+// Carries events into the gateway state machine and its effects out.
+
+#include "mimosagauge/impl/duties/decisions_duty.h"
+
+#include <utility>
+#include <variant>
+
+#include "mimosagauge/impl/duties/log.h"
+#include "mimosagauge/impl/duties/monotonic_clock.h"
+
+namespace mimosagauge {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{10};
+
+}  // namespace
+
+DecisionsDuty::DecisionsDuty(boost::asio::io_context& io, Gateway gateway,
+                             DecisionOutputs outputs)
+    : timer_(io), gateway_(std::move(gateway)), outputs_(std::move(outputs)) {}
+
+void DecisionsDuty::Start() { ScheduleTick(); }
+
+void DecisionsDuty::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void DecisionsDuty::Deliver(Event&& event) {
+  for (Effect& effect : Step(gateway_, MonotonicNow(), std::move(event))) {
+    std::visit([this](auto&& typed) { Carry(std::move(typed)); },
+               std::move(effect));
+  }
+}
+
+void DecisionsDuty::ScheduleTick() {
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error || stopped_) {
+      return;
+    }
+    Deliver(Tick{});
+    ScheduleTick();
+  });
+}
+
+void DecisionsDuty::Carry(ForCallers&& effect) {
+  outputs_.callers.Post(std::move(effect.effect));
+}
+
+void DecisionsDuty::Carry(ForUpstreams&& effect) {
+  outputs_.upstreams.Post(std::move(effect.effect));
+}
+
+void DecisionsDuty::Carry(ForLinks&& effect) {
+  outputs_.links.Post(std::move(effect.effect));
+}
+
+void DecisionsDuty::Carry(ForOperators&& effect) {
+  outputs_.operators.Post(std::move(effect.effect));
+}
+
+void DecisionsDuty::Carry(WriteLog&& effect) {
+  Log(effect.event, effect.fields);
+}
+
+void DecisionsDuty::Carry(StopAccepting&&) { outputs_.stop_accepting(); }
+
+void DecisionsDuty::Carry(Finished&& effect) {
+  outputs_.finished(effect.in_time);
+}
+
+}  // namespace mimosagauge
--- a/src/duties/log.cc
+++ b/src/duties/log.cc
@@ -30,6 +30,27 @@
   return spdlog::level::info;
 }
 
+// Writes the entry; `add_fields` completes it.
+template <typename AddFields>
+void Write(const LogEvent& event, AddFields&& add_fields) {
+  spdlog::logger* logger = spdlog::default_logger_raw();
+  const auto level = ToSpdlog(event.level);
+  if (logger == nullptr || !logger->should_log(level)) {
+    return;
+  }
+  nlohmann::ordered_json entry;
+  entry["event"] = event.number;
+  entry["text"] = event.text;
+  add_fields(entry);
+  if (!event.remedy.empty()) {
+    entry["remedy"] = event.remedy;
+  }
+  const std::string text =
+      entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  // The braces come from the pattern.
+  logger->log(level, "{}", text.substr(1, text.size() - 2));
+}
+
 }  // namespace
 
 void StartLog(const std::string& level) {
@@ -48,21 +69,20 @@
 void StopLog() { spdlog::shutdown(); }
 
 void Log(const LogEvent& event, std::initializer_list<LogField> fields) {
-  spdlog::logger* logger = spdlog::default_logger_raw();
-  const auto level = ToSpdlog(event.level);
-  if (logger == nullptr || !logger->should_log(level)) {
-    return;
-  }
-  nlohmann::json entry;
-  entry["event"] = event.number;
-  entry["text"] = event.text;
-  for (const LogField& field : fields) {
-    entry[std::string(field.name)] = field.value;
-  }
-  const std::string text =
-      entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  // The braces come from the pattern.
-  logger->log(level, "{}", text.substr(1, text.size() - 2));
+  Write(event, [&fields](nlohmann::ordered_json& entry) {
+    for (const LogField& field : fields) {
+      entry[std::string(field.name)] = field.value;
+    }
+  });
+}
+
+void Log(const LogEvent& event,
+         const std::vector<std::pair<std::string, std::string>>& fields) {
+  Write(event, [&fields](nlohmann::ordered_json& entry) {
+    for (const auto& [name, value] : fields) {
+      entry[name] = value;
+    }
+  });
 }
 
 }  // namespace mimosagauge
