--- a/include/mimosagauge/impl/core/units.h
+++ b/include/mimosagauge/impl/core/units.h
@@ -52,6 +52,21 @@
 
 using BitsPerSecond = Quantity<struct BitsPerSecondTag>;
 
+/// \brief A part of a whole, from 0 for nothing to 1 for all of it.
+class Share {
+ public:
+  constexpr Share() noexcept = default;
+  constexpr explicit Share(double value) noexcept : value_(value) {}
+
+  /// \returns The part, from 0 to 1.
+  [[nodiscard]] constexpr double value() const noexcept { return value_; }
+
+  [[nodiscard]] friend constexpr auto operator<=>(Share, Share) = default;
+
+ private:
+  double value_ = 0;
+};
+
 }  // namespace mimosagauge
 
 #endif  // MIMOSAGAUGE_IMPL_CORE_UNITS_H_
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -57,6 +57,34 @@
   RegionId home;  ///< Empty: none.
 };
 
+/// \brief A region and its availability zones.
+struct RegionSettings {
+  RegionId id;
+  std::vector<ZoneId> zones;  ///< Never empty; no zone is in two regions.
+};
+
+/// \brief What two regions share between them.
+struct RegionLinkSettings {
+  RegionId a;  ///< Differs from `b`; a pair is given once.
+  RegionId b;
+  BitsPerSecond width;  ///< Each way, for all traffic of both.
+  Duration latency{};   ///< One way.
+};
+
+/// \brief How much each measure counts in the choice of a region.
+struct PolicySettings {
+  double cost_weight = 1;  ///< Of bytes between regions; at least 0.
+  double tail_weight = 1;  ///< Of tail latency; at least 0, not both 0.
+};
+
+/// \brief A service-level objective, for the report on its burn.
+struct ObjectiveSettings {
+  ServiceId service;
+  std::optional<std::uint8_t> priority;  ///< Empty: all of the service.
+  Share target;        ///< Of requests answered within `latency`; below 1.
+  Duration latency{};  ///< From entry to the end of the answer.
+};
+
 /// \brief Certificate, key and authority for links between instances.
 struct LinkTlsSettings {
   std::string certificate_file;
@@ -91,6 +119,11 @@
   std::string operator_token;
   std::vector<Endpoint> store;  ///< The platform's key-value service.
   std::string store_prefix = "/mimosagauge/";
+  std::vector<Endpoint> instance_list;  ///< The platform's; may be empty.
+  std::vector<RegionSettings> regions;
+  std::vector<RegionLinkSettings> links;  ///< All pairs of regions, or none.
+  PolicySettings policy;
+  std::vector<ObjectiveSettings> objectives;
   std::optional<LinkTlsSettings> link_tls;
   std::vector<AccountSettings> accounts;
   std::vector<PeerSettings> peers;
--- /dev/null
+++ b/src/settings/parse.cc
@@ -0,0 +1,285 @@
+// Reads a settings text into `Settings`.
+
+#include <fmt/format.h>
+#include <yaml-cpp/yaml.h>
+
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include "mimosagauge/impl/core/unit_text.h"
+#include "mimosagauge/impl/settings/contradictions.h"
+#include "mimosagauge/impl/settings/section.h"
+#include "mimosagauge/impl/settings/settings.h"
+
+namespace mimosagauge {
+namespace {
+
+using detail::Section;
+using detail::SettingsReport;
+using detail::TokenText;
+
+constexpr Bytes kMaxSettingsText = Kibibytes(8192);
+constexpr std::size_t kMaxTokenLength = 4096;
+
+/// File names in settings are relative to the settings file.
+[[nodiscard]] std::string ResolveFile(const SettingsReport& report,
+                                      const std::string& name) {
+  const std::filesystem::path file(name);
+  const auto folder = std::filesystem::path(report.file).parent_path();
+  return file.is_absolute() ? name : (folder / file).string();
+}
+
+void ReadFileName(Section& section, const std::string& key,
+                  std::string& value) {
+  std::string name;
+  Read(section, key, name);
+  if (name.empty()) {
+    return;
+  }
+  value = ResolveFile(section.report, name);
+  if (!std::ifstream(value)) {
+    AddFault(section.report, section.prefix + key,
+             fmt::format("the file '{}' cannot be read", value),
+             "check its name and permissions");
+  }
+}
+
+/// \returns The first line of the file, without blanks at its end.
+[[nodiscard]] std::string ReadTokenFile(const std::string& file) {
+  std::ifstream stream(file);
+  std::string token(kMaxTokenLength, '\0');
+  stream.read(token.data(), static_cast<std::streamsize>(token.size()));
+  token.resize(static_cast<std::size_t>(stream.gcount()));
+  token.resize(token.find_last_not_of(" \r\n") + 1);
+  return token;
+}
+
+void ReadToken(Section& section, std::string& value) {
+  TokenText token;
+  Read(section, "token", token);
+  value = token.value;
+  std::string file;
+  ReadFileName(section, "token_file", file);
+  const bool both = Has(section, "token") && Has(section, "token_file");
+  const bool none = !Has(section, "token") && !Has(section, "token_file");
+  if (both || none) {
+    const char* what = both ? "token is given twice" : "token is missing";
+    AddFault(section.report, section.prefix, section.prefix + what,
+             "give either token or token_file");
+    return;
+  }
+  if (file.empty()) {
+    return;
+  }
+  const Result<TokenText> read =
+      detail::FromText(ReadTokenFile(file), static_cast<TokenText*>(nullptr));
+  if (!read) {
+    AddFault(section.report, section.prefix + "token_file",
+             fmt::format("'{}': {}", file, read.error().message),
+             read.error().remedy);
+    return;
+  }
+  value = read.value().value;
+}
+
+[[nodiscard]] RegionSettings ReadRegion(Section& section) {
+  RegionSettings region;
+  Read(section, "id", region.id);
+  Read(section, "zones", region.zones);
+  return region;
+}
+
+[[nodiscard]] AccountSettings ReadAccount(Section& section) {
+  AccountSettings account;
+  Read(section, "id", account.id);
+  ReadToken(section, account.token);
+  Read(section, "home", account.home);
+  return account;
+}
+
+[[nodiscard]] PeerSettings ReadPeer(Section& section) {
+  PeerSettings peer;
+  Read(section, "id", peer.id);
+  Read(section, "region", peer.region);
+  Read(section, "zone", peer.zone);
+  Read(section, "peer", peer.peer);
+  Read(section, "entry", peer.entry);
+  return peer;
+}
+
+[[nodiscard]] UpstreamSettings ReadUpstream(Section& section) {
+  UpstreamSettings upstream;
+  Read(section, "id", upstream.id);
+  Read(section, "service", upstream.service);
+  Read(section, "zone", upstream.zone);
+  Read(section, "endpoint", upstream.endpoint);
+  Read(section, "kind", upstream.kind);
+  Read(section, "models", upstream.models);
+  Read(section, "concurrency", upstream.concurrency);
+  Read(section, "honours_priority", upstream.honours_priority);
+  Read(section, "honours_resume", upstream.honours_resume);
+  Read(section, "checks_orderer", upstream.checks_orderer);
+  Read(section, "fencing", upstream.fencing);
+  return upstream;
+}
+
+[[nodiscard]] RegionLinkSettings ReadLink(Section& section) {
+  RegionLinkSettings link;
+  std::vector<RegionId> between;
+  Read(section, "between", between);
+  if (between.size() == 2) {
+    link.a = between[0];
+    link.b = between[1];
+  } else if (Has(section, "between")) {
+    AddFault(
+        section.report, section.prefix + "between",
+        fmt::format("'{}between' does not name two regions", section.prefix),
+        "write two names, as in [nairobi-a, mombasa-a]");
+  }
+  Read(section, "width", link.width);
+  Read(section, "latency", link.latency);
+  return link;
+}
+
+[[nodiscard]] ObjectiveSettings ReadObjective(Section& section) {
+  ObjectiveSettings objective;
+  Read(section, "service", objective.service);
+  Read(section, "priority", objective.priority);
+  Read(section, "target", objective.target);
+  Read(section, "latency", objective.latency);
+  return objective;
+}
+
+/// Entries that are no sections keep their place, so that the faults found
+/// later name the right line.
+template <typename T, typename ReadEntry>
+void ReadList(Section& parent, const std::string& key, std::vector<T>& values,
+              ReadEntry read_entry) {
+  for (Section& section : OpenSections(parent, key)) {
+    values.push_back(read_entry(section));
+  }
+}
+
+void ReadListen(Section& file, Settings& settings) {
+  if (auto section = OpenSection(file, "listen")) {
+    Read(*section, "entry", settings.entry);
+    Read(*section, "peer", settings.peer);
+    Read(*section, "operators", settings.operators);
+  }
+}
+
+void ReadPlatform(Section& file, Settings& settings) {
+  if (auto section = OpenSection(file, "platform")) {
+    Read(*section, "store", settings.store);
+    Read(*section, "prefix", settings.store_prefix);
+    Read(*section, "instance_list", settings.instance_list);
+  }
+}
+
+void ReadLinkTls(Section& file, Settings& settings) {
+  if (auto section = OpenSection(file, "link_tls")) {
+    LinkTlsSettings& tls = settings.link_tls.emplace();
+    ReadFileName(*section, "certificate_file", tls.certificate_file);
+    ReadFileName(*section, "key_file", tls.key_file);
+    ReadFileName(*section, "authority_file", tls.authority_file);
+  }
+}
+
+void ReadLimits(Section& file, LimitSettings& limits) {
+  auto section = OpenSection(file, "limits");
+  if (!section) {
+    return;
+  }
+  Read(*section, "connections", limits.connections);
+  Read(*section, "requests", limits.requests);
+  Read(*section, "queued", limits.queued);
+  Read(*section, "header", limits.header);
+  Read(*section, "body", limits.body);
+  Read(*section, "stream_window", limits.stream_window);
+  Read(*section, "header_timeout", limits.header_timeout);
+  Read(*section, "idle_timeout", limits.idle_timeout);
+  Read(*section, "default_due", limits.default_due);
+  Read(*section, "silence", limits.silence);
+  Read(*section, "drain", limits.drain);
+}
+
+void ReadSmallSections(Section& file, Settings& settings) {
+  if (auto section = OpenSection(file, "operator")) {
+    ReadToken(*section, settings.operator_token);
+  }
+  if (auto section = OpenSection(file, "policy")) {
+    Read(*section, "cost_weight", settings.policy.cost_weight);
+    Read(*section, "tail_weight", settings.policy.tail_weight);
+  }
+  if (auto section = OpenSection(file, "log")) {
+    Read(*section, "level", settings.log_level);
+  }
+}
+
+[[nodiscard]] Settings ReadSettings(Section file) {
+  Settings settings;
+  Read(file, "instance", settings.instance);
+  Read(file, "region", settings.region);
+  Read(file, "zone", settings.zone);
+  ReadListen(file, settings);
+  ReadPlatform(file, settings);
+  ReadLinkTls(file, settings);
+  ReadSmallSections(file, settings);
+  ReadLimits(file, settings.limits);
+  ReadList(file, "regions", settings.regions, ReadRegion);
+  ReadList(file, "accounts", settings.accounts, ReadAccount);
+  ReadList(file, "peers", settings.peers, ReadPeer);
+  ReadList(file, "upstreams", settings.upstreams, ReadUpstream);
+  ReadList(file, "links", settings.links, ReadLink);
+  ReadList(file, "objectives", settings.objectives, ReadObjective);
+  return settings;
+}
+
+void AddTextFault(SettingsReport& report, std::uint32_t line,
+                  std::string message, std::string remedy) {
+  report.faults.push_back(
+      {report.file, line, std::move(message), std::move(remedy)});
+}
+
+/// \returns The map at the root, or a null node after adding a fault.
+[[nodiscard]] YAML::Node LoadYaml(const std::string& text,
+                                  SettingsReport& report) {
+  if (text.size() > kMaxSettingsText.count()) {
+    AddTextFault(
+        report, 1,
+        fmt::format("the file is larger than {}", ToString(kMaxSettingsText)),
+        "give a settings file");
+    return {};
+  }
+  try {
+    const std::vector<YAML::Node> documents = YAML::LoadAll(text);
+    if (documents.size() == 1 && documents[0].IsMap()) {
+      return documents[0];
+    }
+    AddTextFault(report, 1, "the file is not one YAML map",
+                 "write one document of keys and values");
+  } catch (const YAML::Exception& exception) {
+    const int line = exception.mark.line;
+    AddTextFault(report, static_cast<std::uint32_t>(line < 0 ? 1 : line + 1),
+                 "the file is not valid YAML: " + exception.msg,
+                 "mend the syntax on this line or just before it");
+  }
+  return {};
+}
+
+}  // namespace
+
+Settings ParseSettings(const std::string& text, const std::string& file,
+                       std::vector<SettingsFault>& faults) {
+  SettingsReport report{file, faults, {}};
+  const YAML::Node root = LoadYaml(text, report);
+  if (!root.IsMap()) {
+    return {};
+  }
+  Settings settings = ReadSettings(OpenFile(root, report));
+  FindContradictions(settings, report);
+  return settings;
+}
+
+}  // namespace mimosagauge
