--- a/include/mimosagauge/impl/duties/log.h
+++ b/include/mimosagauge/impl/duties/log.h
@@ -33,8 +33,9 @@
 /// \endcode
 void Log(const LogEvent& event, std::initializer_list<LogField> fields = {});
 /// \brief The same, for fields collected before: names and values.
-void Log(const LogEvent& event,
-         const std::vector<std::pair<std::string, std::string>>& fields);
+void LogCollected(
+    const LogEvent& event,
+    const std::vector<std::pair<std::string, std::string>>& fields);
 
 }  // namespace mimosagauge
 
--- a/src/duties/decisions_duty.cc
+++ b/src/duties/decisions_duty.cc
@@ -61,7 +61,7 @@
 }
 
 void DecisionsDuty::Carry(WriteLog&& effect) {
-  Log(effect.event, effect.fields);
+  LogCollected(effect.event, effect.fields);
 }
 
 void DecisionsDuty::Carry(StopAccepting&&) { outputs_.stop_accepting(); }
--- a/src/duties/log.cc
+++ b/src/duties/log.cc
@@ -76,8 +76,9 @@
   });
 }
 
-void Log(const LogEvent& event,
-         const std::vector<std::pair<std::string, std::string>>& fields) {
+void LogCollected(
+    const LogEvent& event,
+    const std::vector<std::pair<std::string, std::string>>& fields) {
   Write(event, [&fields](nlohmann::ordered_json& entry) {
     for (const auto& [name, value] : fields) {
       entry[name] = value;
