Links: the duty that carries requests between instances

Cause: instances could not give each other requests. Change: one dialled connection to each peer with a greeting, version agreement, heartbeat, TLS or plain TCP on loopback only, a write queue that is fair between streams, credit for answer bytes, and the run state of attempts decided by what left the process. Conclusion: the thin path can be wired with it.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -34,6 +34,48 @@
     1004, LogLevel::kWarning, "graceful shutdown ran out of time",
     "raise limits.drain or look for requests that do not end"};
 
+inline constexpr LogEvent kLinkListening{4001, LogLevel::kInfo,
+                                         "listening for other instances", ""};
+inline constexpr LogEvent kLinkUp{4002, LogLevel::kInfo,
+                                  "link to another instance is up", ""};
+inline constexpr LogEvent kLinkLost{4003, LogLevel::kWarning,
+                                    "link to another instance was lost",
+                                    "check that instance and the network"};
+inline constexpr LogEvent kLinkNotUp{
+    4004, LogLevel::kWarning, "another instance cannot be reached",
+    "check its address under peers, that instance and the network"};
+inline constexpr LogEvent kLinkSilent{
+    4005, LogLevel::kWarning, "link went silent and was closed",
+    "check the network and whether the other process is paused"};
+inline constexpr LogEvent kLinkNotProved{
+    4006, LogLevel::kWarning, "the other side did not prove who it is",
+    "check certificates, authority and the addresses under peers"};
+inline constexpr LogEvent kLinkNoVersion{
+    4007, LogLevel::kError, "no common version of the peer protocol",
+    "upgrade in steps of one release"};
+inline constexpr LogEvent kLinkInvalidFrames{
+    4008, LogLevel::kWarning, "bytes on the peer port break the protocol",
+    "let only instances of this system connect to the peer port"};
+inline constexpr LogEvent kLinkNoGreeting{
+    4009, LogLevel::kWarning, "a connection to the peer port did not greet",
+    "let only instances of this system connect to the peer port"};
+inline constexpr LogEvent kLinkRefused{
+    4010, LogLevel::kWarning, "too many connections that have not greeted",
+    "find out who connects to the peer port"};
+inline constexpr LogEvent kLinkAcceptFailed{
+    4011, LogLevel::kError, "a connection to the peer port was not accepted",
+    "raise the limit of open files of the process"};
+inline constexpr LogEvent kPeerLeaving{4012, LogLevel::kInfo,
+                                       "another instance is leaving", ""};
+inline constexpr LogEvent kBrokenAnswer{
+    4013, LogLevel::kError, "an answer from another instance is not whole",
+    "run the same release on both sides"};
+inline constexpr LogEvent kLinkPlain{
+    4014, LogLevel::kWarning, "links are not encrypted or authenticated",
+    "set link_tls unless all instances are on this machine"};
+inline constexpr LogEvent kLinkAccepted{4015, LogLevel::kInfo,
+                                        "another instance connected", ""};
+
 }  // namespace log_events
 
 /// \returns Every kind of log entry, by number.
--- a/include/mimosagauge/impl/wire/codec.h
+++ b/include/mimosagauge/impl/wire/codec.h
@@ -19,6 +19,10 @@
 [[nodiscard]] std::string EncodeMessage(const Message& message,
                                         std::uint8_t version);
 
+/// \returns Whether the payload of an encoded frame is within its bound; one
+/// that is not must not be sent.
+[[nodiscard]] bool FitsFrame(const std::string& encoded) noexcept;
+
 /// \brief Checks a frame whole and decodes it.
 /// \returns The message; nothing for a type that this program does not know;
 /// `kInvalidInput` when the payload does not hold.
--- a/include/mimosagauge/impl/wire/frame.h
+++ b/include/mimosagauge/impl/wire/frame.h
@@ -79,12 +79,12 @@
   /// valid until the next call of `Feed` or `Next`.
   [[nodiscard]] Result<std::optional<Frame>> Next();
 
-  /// \brief Lets only this type pass from now on; nothing: all types.
-  void set_only_type(std::optional<FrameType> type) noexcept {
-    only_type_ = type;
+  /// \brief Ends the greeting, in which only Hello and Goodbye frames pass.
+  /// \param version Lets only this version pass from now on.
+  void EndGreeting(std::uint8_t version) noexcept {
+    greeting_ = false;
+    version_ = version;
   }
-  /// \brief Lets only this version pass from now on.
-  void set_version(std::uint8_t version) noexcept { version_ = version; }
 
   /// \returns Bytes held.
   [[nodiscard]] std::size_t buffered() const noexcept {
@@ -96,7 +96,7 @@
 
   std::string buffer_;
   std::size_t consumed_ = 0;  // Bytes of `buffer_` already handed out.
-  std::optional<FrameType> only_type_;
+  bool greeting_ = true;
   std::uint8_t version_ = kHelloVersion;
 };
 
--- /dev/null
+++ b/src/duties/link_duty.cc
@@ -0,0 +1,107 @@
+// The duty that keeps links to other instances.
+
+#include "mimosagauge/impl/duties/link_duty.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "mimosagauge/impl/duties/log.h"
+
+namespace mimosagauge {
+namespace {
+
+[[nodiscard]] bool IsLoopback(const Endpoint& endpoint) {
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(endpoint.address, error);
+  return !error && address.is_loopback();
+}
+
+[[nodiscard]] Error PlainNotAllowed(const Endpoint& endpoint) {
+  return Error{ErrorKind::kInvalidSettings,
+               fmt::format("links without TLS are allowed on loopback "
+                           "addresses only, and {} is none",
+                           ToString(endpoint)),
+               "set link_tls to a certificate, its key and the authority"};
+}
+
+[[nodiscard]] Result<void> CheckPlain(const Settings& settings) {
+  if (!IsLoopback(settings.peer)) {
+    return PlainNotAllowed(settings.peer);
+  }
+  for (const PeerSettings& peer : settings.peers) {
+    if (!IsLoopback(peer.peer)) {
+      return PlainNotAllowed(peer.peer);
+    }
+  }
+  return success();
+}
+
+template <typename Effect>
+constexpr bool kForClient = std::is_same_v<Effect, StartLinkAttempt> ||
+                            std::is_same_v<Effect, CancelAttempt> ||
+                            std::is_same_v<Effect, CreditAttempt>;
+
+}  // namespace
+
+LinkDuty::LinkDuty(boost::asio::io_context& io, const Settings& settings,
+                   Mailbox<Event>& decisions, const LinkTimings& timings)
+    : settings_(settings),
+      timings_(timings),
+      client_(io, settings, timings, decisions),
+      server_(io, settings, timings, decisions) {}
+
+Result<LinkTlsContextPtr> LinkDuty::MakeTls() const {
+  if (settings_.link_tls) {
+    return MakeLinkTlsContext(*settings_.link_tls);
+  }
+  const Result<void> plain = CheckPlain(settings_);
+  if (!plain) {
+    return plain.error();
+  }
+  Log(log_events::kLinkPlain);
+  return LinkTlsContextPtr();
+}
+
+Result<void> LinkDuty::Start() {
+  const auto tls = MakeTls();
+  if (!tls) {
+    return tls.error();
+  }
+  const HelloMessage own{timings_.min_version, timings_.max_version,
+                         settings_.instance, settings_.region, settings_.zone};
+  const Result<void> listening = server_.Start(tls.value(), own);
+  if (!listening) {
+    return listening.error();
+  }
+  client_.Start(tls.value(), own);
+  return success();
+}
+
+void LinkDuty::Stop() {
+  client_.Stop();
+  server_.Stop();
+}
+
+void LinkDuty::Handle(LinkEffect&& effect) {
+  std::visit(
+      [this](auto&& one) {
+        using One = std::decay_t<decltype(one)>;
+        if constexpr (kForClient<One>) {
+          client_.Handle(std::forward<decltype(one)>(one));
+        } else {
+          server_.Handle(std::forward<decltype(one)>(one));
+        }
+      },
+      std::move(effect));
+}
+
+void LinkDuty::set_gossip_handler(const GossipHandler& handler) {
+  client_.set_gossip_handler(handler);
+  server_.set_gossip_handler(handler);
+}
+
+}  // namespace mimosagauge
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -94,9 +94,8 @@
     const auto instance = Text(builder, hello.instance.value());
     const auto region = Text(builder, hello.region.value());
     const auto zone = Text(builder, hello.zone.value());
-    builder.Finish(wire::CreateHello(builder, hello.min_version,
-                                     hello.max_version, instance, region,
-                                     zone));
+    builder.Finish(wire::CreateHello(
+        builder, hello.min_version, hello.max_version, instance, region, zone));
     return FrameType::kHello;
   }
   FrameType operator()(const PingMessage& ping) const {
@@ -334,8 +333,7 @@
 }
 
 [[nodiscard]] Message Decode(const wire::ProblemAnswer& table) {
-  return ProblemMessage{StreamNumber{table.stream()},
-                        Decode(*table.problem())};
+  return ProblemMessage{StreamNumber{table.stream()}, Decode(*table.problem())};
 }
 
 [[nodiscard]] Message Decode(const wire::Gossip& table) {
@@ -363,8 +361,8 @@
   return std::optional<Message>(Decode(*flatbuffers::GetRoot<Table>(bytes)));
 }
 
-[[nodiscard]] Decoded DecodePayload(const std::uint8_t* bytes,
-                                    std::size_t size, std::uint8_t type) {
+[[nodiscard]] Decoded DecodePayload(const std::uint8_t* bytes, std::size_t size,
+                                    std::uint8_t type) {
   switch (static_cast<FrameType>(type)) {
     case FrameType::kHello:
       return VerifyAndDecode<wire::Hello>(bytes, size, type);
@@ -411,11 +409,16 @@
   return out;
 }
 
+bool FitsFrame(const std::string& encoded) noexcept {
+  constexpr std::size_t kTypeOffset = 3;
+  const auto type = static_cast<std::uint8_t>(encoded[kTypeOffset]);
+  return encoded.size() - kFramePrefixBytes <= MaxPayload(type);
+}
+
 Result<std::optional<Message>> DecodeMessage(const Frame& frame) {
   // The tables are read in place, so the payload must be aligned.
-  const std::size_t words =
-      (frame.payload.size() + sizeof(std::uint64_t) - 1) /
-      sizeof(std::uint64_t);
+  const std::size_t words = (frame.payload.size() + sizeof(std::uint64_t) - 1) /
+                            sizeof(std::uint64_t);
   std::vector<std::uint64_t> aligned(std::max<std::size_t>(words, 1));
   if (!frame.payload.empty()) {
     std::memcpy(aligned.data(), frame.payload.data(), frame.payload.size());
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -26,6 +26,11 @@
   return size;
 }
 
+[[nodiscard]] bool GreetingType(std::uint8_t type) {
+  return type == static_cast<std::uint8_t>(FrameType::kHello) ||
+         type == static_cast<std::uint8_t>(FrameType::kGoodbye);
+}
+
 [[nodiscard]] Error InvalidFrame(std::string message) {
   return Error{ErrorKind::kInvalidInput, std::move(message),
                "let only instances of this system connect to the peer port"};
@@ -76,14 +81,14 @@
         "a frame has protocol version {}, agreed was {}", version, version_));
   }
   const std::uint8_t type = ByteAt(prefix, kTypeOffset);
-  if (only_type_ && type != static_cast<std::uint8_t>(*only_type_)) {
+  if (greeting_ && !GreetingType(type)) {
     return InvalidFrame(
         fmt::format("a frame of type {} came before the greeting", type));
   }
   const std::size_t size = ReadSize(prefix);
   if (size > MaxPayload(type)) {
-    return InvalidFrame(fmt::format("a frame of type {} claims {} bytes", type,
-                                    size));
+    return InvalidFrame(
+        fmt::format("a frame of type {} claims {} bytes", type, size));
   }
   return size;
 }
