--- /dev/null
+++ b/include/mimosagauge/impl/platform/store_codec.h
@@ -0,0 +1,51 @@
+// The JSON that the key-value service speaks: etcd v3's JSON mapping. Pure
+// functions between typed calls and texts; nothing here does I/O.
+
+#ifndef MIMOSAGAUGE_IMPL_PLATFORM_STORE_CODEC_H_
+#define MIMOSAGAUGE_IMPL_PLATFORM_STORE_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "mimosagauge/impl/core/error.h"
+#include "mimosagauge/impl/platform/store.h"
+
+namespace mimosagauge {
+
+/// \returns The body of a call of `/v3/kv/range`.
+[[nodiscard]] std::string EncodeRange(const StoreRange& range);
+/// \returns The body of a call of `/v3/kv/txn`.
+[[nodiscard]] std::string EncodeTransaction(
+    const StoreTransaction& transaction);
+/// \param ttl Rounded up to whole seconds, at least one.
+/// \returns The body of a call of `/v3/lease/grant`.
+[[nodiscard]] std::string EncodeGrant(Duration ttl);
+/// \returns The body of a call of `/v3/lease/keepalive` or
+/// `/v3/lease/revoke`.
+[[nodiscard]] std::string EncodeLease(LeaseId lease);
+/// \param from First revision to be told of; zero: from now on.
+/// \returns The body of a call of `/v3/watch`.
+[[nodiscard]] std::string EncodeWatch(const StoreRange& range,
+                                      StoreRevision from);
+
+/// \returns The answer to a read, or `kInvalidInput`.
+[[nodiscard]] Result<StoreRead> DecodeRange(std::string_view text);
+/// \returns The answer to a transaction, or `kInvalidInput`.
+[[nodiscard]] Result<StoreCommit> DecodeTransaction(std::string_view text);
+/// \returns The lease granted, or `kInvalidInput`.
+[[nodiscard]] Result<StoreLease> DecodeGrant(std::string_view text);
+/// \returns The lease renewed, or `kInvalidInput`.
+[[nodiscard]] Result<StoreLease> DecodeKeepAlive(std::string_view text);
+/// \param line One line of a watch's answer.
+/// \returns What it tells, `kUnavailable` when the service ended the watch, or
+/// `kInvalidInput`.
+[[nodiscard]] Result<StoreWatchUpdate> DecodeWatch(std::string_view line);
+/// \param status HTTP status of an answer that is not a success.
+/// \param text Its body.
+/// \returns `kInvalidInput`, `kUnauthenticated`, `kNotFound`, `kOverloaded` or
+/// `kUnavailable`. Only after the last one a write may have taken effect.
+[[nodiscard]] Error DecodeRefusal(unsigned status, std::string_view text);
+
+}  // namespace mimosagauge
+
+#endif  // MIMOSAGAUGE_IMPL_PLATFORM_STORE_CODEC_H_
--- a/src/platform/store.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-// Placeholder until the store client stands.
