--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -7,21 +7,31 @@
 namespace mimosagauge {
 namespace {
 
+// One a line, so that the parts of the product can add theirs side by side.
+// clang-format off
 constexpr std::array kCatalogue{
-    log_events::kStarted,         log_events::kDraining,
-    log_events::kStopped,         log_events::kDrainTimeout,
+    log_events::kStarted,
+    log_events::kDraining,
+    log_events::kStopped,
+    log_events::kDrainTimeout,
     log_events::kUpstreamEjected,
-    log_events::kStarted,          log_events::kDraining,
-    log_events::kStopped,          log_events::kDrainTimeout,
-    log_events::kLinkListening,    log_events::kLinkUp,
-    log_events::kLinkLost,         log_events::kLinkNotUp,
-    log_events::kLinkSilent,       log_events::kLinkNotProved,
-    log_events::kLinkNoVersion,    log_events::kLinkInvalidFrames,
-    log_events::kLinkNoGreeting,   log_events::kLinkRefused,
-    log_events::kLinkAcceptFailed, log_events::kPeerLeaving,
-    log_events::kBrokenAnswer,     log_events::kLinkPlain,
+    log_events::kLinkListening,
+    log_events::kLinkUp,
+    log_events::kLinkLost,
+    log_events::kLinkNotUp,
+    log_events::kLinkSilent,
+    log_events::kLinkNotProved,
+    log_events::kLinkNoVersion,
+    log_events::kLinkInvalidFrames,
+    log_events::kLinkNoGreeting,
+    log_events::kLinkRefused,
+    log_events::kLinkAcceptFailed,
+    log_events::kPeerLeaving,
+    log_events::kBrokenAnswer,
+    log_events::kLinkPlain,
     log_events::kLinkAccepted,
 };
+// clang-format on
 
 }  // namespace
 
