--- a/include/mimosagauge/impl/duties/link_connection.h
+++ b/include/mimosagauge/impl/duties/link_connection.h
@@ -109,7 +109,7 @@
  private:
   enum class State : std::uint8_t { kGreeting, kOpen, kClosing, kClosed };
   using Clock = std::chrono::steady_clock;
-  static constexpr std::size_t kReadBufferBytes = 32 * 1024;
+  static constexpr std::size_t kReadBufferBytes = 32UL * 1024;
 
   void Greet();
   void Read();
--- a/include/mimosagauge/impl/wire/frame.h
+++ b/include/mimosagauge/impl/wire/frame.h
@@ -45,9 +45,9 @@
 
 inline constexpr std::size_t kFramePrefixBytes = 8;
 /// Largest payloads: of frames with body data, of control state, of others.
-inline constexpr std::size_t kMaxDataPayload = 256 * 1024;
-inline constexpr std::size_t kMaxGossipPayload = 1280 * 1024;
-inline constexpr std::size_t kMaxSmallPayload = 8 * 1024;
+inline constexpr std::size_t kMaxDataPayload = 256UL * 1024;
+inline constexpr std::size_t kMaxGossipPayload = 1280UL * 1024;
+inline constexpr std::size_t kMaxSmallPayload = 8UL * 1024;
 
 /// \returns The largest payload that a frame of this type may have, in bytes;
 /// types that this program does not know may be as large as small ones.
--- a/src/duties/link_client.cc
+++ b/src/duties/link_client.cc
@@ -18,7 +18,7 @@
 /// Most attempts that wait for one connection to open.
 constexpr std::size_t kMaxWaiting = 1024;
 /// Most bytes queued on one link before it takes no more requests.
-constexpr Bytes kMaxQueued = Kibibytes(32 * 1024);
+constexpr Bytes kMaxQueued = Kibibytes(32UL * 1024);
 /// An answer may exceed its credit by one frame.
 constexpr Bytes kOverrun{kMaxDataPayload};
 constexpr std::uint32_t kMostDoublings = 16;
--- a/src/duties/link_queue.cc
+++ b/src/duties/link_queue.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Request bodies are sent in pieces of this size.
-constexpr std::size_t kRequestPieceBytes = 16 * 1024;
+constexpr std::size_t kRequestPieceBytes = 16UL * 1024;
 
 }  // namespace
 
--- a/src/duties/link_server.cc
+++ b/src/duties/link_server.cc
@@ -18,13 +18,13 @@
 namespace asio = boost::asio;
 
 /// Most bytes of request bodies that are still coming in, for each link.
-constexpr Bytes kMaxPartialBytes = Kibibytes(64 * 1024);
+constexpr Bytes kMaxPartialBytes = Kibibytes(64UL * 1024);
 /// Answer bodies are cut into frames of this size, unless a part names its
 /// last event and so holds whole events.
-constexpr std::size_t kAnswerPieceBytes = 64 * 1024;
+constexpr std::size_t kAnswerPieceBytes = 64UL * 1024;
 /// Parts that name their last event may be this large.
-constexpr std::size_t kMaxWholePieceBytes = 224 * 1024;
-constexpr std::size_t kMaxEventIdBytes = 4 * 1024;
+constexpr std::size_t kMaxWholePieceBytes = 224UL * 1024;
+constexpr std::size_t kMaxEventIdBytes = 4UL * 1024;
 /// Texts of a problem that does not fit a frame are cut to this size.
 constexpr std::size_t kMaxProblemTextBytes = 512;
 constexpr std::chrono::milliseconds kAcceptRetry{100};
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -42,9 +42,7 @@
                               const std::string& data) {
   std::uint8_t* bytes = nullptr;
   const auto offset = builder.CreateUninitializedVector(data.size(), &bytes);
-  if (!data.empty()) {
-    std::memcpy(bytes, data.data(), data.size());
-  }
+  std::copy(data.begin(), data.end(), bytes);
   return offset;
 }
 
