--- a/include/mimosagauge/impl/core/strong_id.h
+++ b/include/mimosagauge/impl/core/strong_id.h
@@ -32,6 +32,7 @@
 
   [[nodiscard]] friend bool operator==(const StrongName&,
                                        const StrongName&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the operator for a 0.
   [[nodiscard]] friend auto operator<=>(const StrongName&,
                                         const StrongName&) = default;
 
--- a/include/mimosagauge/impl/core/units.h
+++ b/include/mimosagauge/impl/core/units.h
@@ -38,6 +38,7 @@
     return a -= b;
   }
   [[nodiscard]] friend constexpr bool operator==(Quantity, Quantity) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the operator for a 0.
   [[nodiscard]] friend constexpr auto operator<=>(Quantity, Quantity) = default;
 
  private:
@@ -61,6 +62,7 @@
   /// \returns The part, from 0 to 1.
   [[nodiscard]] constexpr double value() const noexcept { return value_; }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the operator for a 0.
   [[nodiscard]] friend constexpr auto operator<=>(Share, Share) = default;
 
  private:
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -140,6 +140,9 @@
   std::string remedy;
 };
 
+/// Largest settings text.
+inline constexpr Bytes kMaxSettingsText = Kibibytes(8192);
+
 /// \brief Checks a settings text whole.
 /// \param text YAML.
 /// \param file Its name, for the faults.
--- a/src/core/unit_text.cc
+++ b/src/core/unit_text.cc
@@ -25,7 +25,7 @@
                                {"min", 60'000'000},
                                {"h", 3'600'000'000}};
 constexpr Unit kSizeUnits[] = {
-    {"B", 1}, {"KiB", 1024}, {"MiB", 1024 * 1024}, {"GiB", 1024 * 1024 * 1024}};
+    {"B", 1}, {"KiB", 1ull << 10}, {"MiB", 1ull << 20}, {"GiB", 1ull << 30}};
 constexpr Unit kRateUnits[] = {{"bit/s", 1},
                                {"kbit/s", 1'000},
                                {"Mbit/s", 1'000'000},
--- a/src/settings/load.cc
+++ b/src/settings/load.cc
@@ -1,23 +1,18 @@
 // Reading of settings files.
 
-#include <fstream>
-#include <sstream>
-
 #include "mimosagauge/impl/settings/settings.h"
+#include "mimosagauge/impl/settings/text_file.h"
 
 namespace mimosagauge {
 
 Settings LoadSettings(const std::string& file,
                       std::vector<SettingsFault>& faults) {
-  std::ifstream stream(file);
-  if (!stream) {
-    faults.push_back(
-        {file, 0, "the file cannot be read", "check its name and permissions"});
+  const Result<std::string> text = ReadTextFile(file, kMaxSettingsText);
+  if (!text) {
+    faults.push_back({file, 0, text.error().message, text.error().remedy});
     return {};
   }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return ParseSettings(text.str(), file, faults);
+  return ParseSettings(text.value(), file, faults);
 }
 
 }  // namespace mimosagauge
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -11,6 +11,7 @@
 #include "mimosagauge/impl/settings/contradictions.h"
 #include "mimosagauge/impl/settings/section.h"
 #include "mimosagauge/impl/settings/settings.h"
+#include "mimosagauge/impl/settings/text_file.h"
 
 namespace mimosagauge {
 namespace {
@@ -19,8 +20,7 @@
 using detail::SettingsReport;
 using detail::TokenText;
 
-constexpr Bytes kMaxSettingsText = Kibibytes(8192);
-constexpr std::size_t kMaxTokenLength = 4096;
+constexpr Bytes kMaxTokenFile = Kibibytes(4);
 
 /// File names in settings are relative to the settings file.
 [[nodiscard]] std::string ResolveFile(const SettingsReport& report,
@@ -45,14 +45,15 @@
   }
 }
 
-/// \returns The first line of the file, without blanks at its end.
-[[nodiscard]] std::string ReadTokenFile(const std::string& file) {
-  std::ifstream stream(file);
-  std::string token(kMaxTokenLength, '\0');
-  stream.read(token.data(), static_cast<std::streamsize>(token.size()));
-  token.resize(static_cast<std::size_t>(stream.gcount()));
-  token.resize(token.find_last_not_of(" \r\n") + 1);
-  return token;
+/// \returns The token in the file, without the blanks at its end.
+[[nodiscard]] Result<TokenText> ReadTokenFile(const std::string& file) {
+  const Result<std::string> text = ReadTextFile(file, kMaxTokenFile);
+  if (!text) {
+    return text.error();
+  }
+  const std::size_t end = text.value().find_last_not_of(" \r\n") + 1;
+  return detail::FromText(text.value().substr(0, end),
+                          static_cast<TokenText*>(nullptr));
 }
 
 void ReadToken(Section& section, std::string& value) {
@@ -72,8 +73,7 @@
   if (file.empty()) {
     return;
   }
-  const Result<TokenText> read =
-      detail::FromText(ReadTokenFile(file), static_cast<TokenText*>(nullptr));
+  const Result<TokenText> read = ReadTokenFile(file);
   if (!read) {
     AddFault(section.report, section.prefix + "token_file",
              fmt::format("'{}': {}", file, read.error().message),
--- a/tests/unit/examples_hold_test.cc
+++ b/tests/unit/examples_hold_test.cc
@@ -14,11 +14,12 @@
 namespace mimosagauge {
 namespace {
 
-const std::filesystem::path kExamples =
-    std::filesystem::path(MIMOSAGAUGE_SOURCE_DIR) / "examples";
+[[nodiscard]] std::filesystem::path ExamplesFolder() {
+  return std::filesystem::path(MIMOSAGAUGE_SOURCE_DIR) / "examples";
+}
 
 [[nodiscard]] RuleSet LoadExampleRules(const std::string& customer) {
-  std::ifstream stream(kExamples / customer / "rules.txt");
+  std::ifstream stream(ExamplesFolder() / customer / "rules.txt");
   std::ostringstream text;
   text << stream.rdbuf();
   std::vector<RuleFault> faults;
@@ -33,7 +34,7 @@
 TEST_CASE("the example settings hold") {
   std::size_t files = 0;
   for (const auto& entry :
-       std::filesystem::recursive_directory_iterator(kExamples)) {
+       std::filesystem::recursive_directory_iterator(ExamplesFolder())) {
     if (entry.path().extension() != ".yaml") {
       continue;
     }
