--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -34,6 +34,32 @@
     1004, LogLevel::kWarning, "graceful shutdown ran out of time",
     "raise limits.drain or look for requests that do not end"};
 
+inline constexpr LogEvent kStoreUnreachable{
+    5001, LogLevel::kWarning, "the key-value service cannot be reached",
+    "look at the service; the rules in force stay so meanwhile"};
+inline constexpr LogEvent kStoreReachable{
+    5002, LogLevel::kInfo, "the key-value service can be reached again", ""};
+inline constexpr LogEvent kWatchSilent{
+    5003, LogLevel::kWarning, "a watch missed a change and was opened anew",
+    "look for something that drops idle connections to the service"};
+inline constexpr LogEvent kOperatorRefused{
+    5101, LogLevel::kWarning, "an operator's request without a valid token",
+    "give the token of settings operators.token"};
+
+inline constexpr LogEvent kRulesLearned{
+    6001, LogLevel::kInfo, "rules learned from the key-value service", ""};
+inline constexpr LogEvent kRulesDamaged{
+    6002, LogLevel::kError, "the stored rules do not hold and are left aside",
+    "apply the whole rules with rules apply --overwrite"};
+inline constexpr LogEvent kRulesRemoved{
+    6003, LogLevel::kWarning, "the rules were removed from the store",
+    "apply the rules again; those in force stay so meanwhile"};
+inline constexpr LogEvent kRulesOlder{
+    6004, LogLevel::kWarning, "the store holds older rules than are in force",
+    "apply the rules again; those in force stay so meanwhile"};
+inline constexpr LogEvent kRulesAccepted{
+    6005, LogLevel::kInfo, "an edit of the rules was accepted", ""};
+
 inline constexpr LogEvent kUpstreamEjected{
     8001, LogLevel::kWarning, "upstream gets no new work for a while",
     "look at the upstream; it failed several times in a row"};
--- a/include/mimosagauge/impl/decisions/view.h
+++ b/include/mimosagauge/impl/decisions/view.h
@@ -5,6 +5,7 @@
 #define MIMOSAGAUGE_IMPL_DECISIONS_VIEW_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,14 @@
   std::size_t limit = 0;
 };
 
+/// \brief What is known of the rules in force at an instance.
+struct InstanceRevisionView {
+  InstanceId id;
+  RegionId region;
+  std::optional<Revision> revision;  ///< None: not known.
+  Duration age{};                    ///< Since it was learned.
+};
+
 /// \brief A consistent picture, taken by the decisions; immutable.
 struct InstanceView {
   bool ready = false;
@@ -41,6 +50,7 @@
   std::vector<EntryInstance> entries;    ///< This instance's preference.
   Duration entries_good_for{};
   std::vector<UpstreamView> upstreams;
+  std::vector<InstanceRevisionView> revisions;  ///< Of the other instances.
   std::string metrics;  ///< In the Prometheus text format.
 };
 
--- a/include/mimosagauge/impl/platform/rules_change.h
+++ b/include/mimosagauge/impl/platform/rules_change.h
@@ -1,4 +1,4 @@
-// Edits of the rules: what one makes of the record that the store holds now.
+// Edits of the rules: what one makes of the rules that the store holds now.
 // Pure; the writer in the platform duty carries it out.
 
 #ifndef MIMOSAGAUGE_IMPL_PLATFORM_RULES_CHANGE_H_
@@ -64,9 +64,10 @@
 
 using RulesOutcome = std::variant<RulesAccepted, RulesRefused>;
 
-/// \brief The record to write, by compare-and-swap.
+/// \brief What to write, by compare-and-swap.
 struct WriteRules {
-  RulesRecord record;
+  RulesHead head;
+  std::string text;
   std::vector<Revision> forgotten;  ///< Their texts are no longer kept.
   bool merged = false;
 };
@@ -81,11 +82,14 @@
 /// \returns The refusal, or none.
 [[nodiscard]] std::optional<RulesRefused> CheckEdit(const RulesEdit& edit);
 
+/// \returns Whether the edit needs none of what the store holds.
+[[nodiscard]] bool Overwrites(const RulesEdit& edit);
+
 /// \brief Says what to do next for an edit.
 /// \param stored What the store holds.
 /// \param base_text Text of the edit's base revision, once it has been read.
 /// \param floor The new revision is greater than this.
-[[nodiscard]] RulesPlan PlanEdit(const RulesRecord& stored,
+[[nodiscard]] RulesPlan PlanEdit(const StoredRules& stored,
                                  const std::optional<std::string>& base_text,
                                  const RulesEdit& edit, Revision floor);
 
--- a/include/mimosagauge/impl/platform/rules_record.h
+++ b/include/mimosagauge/impl/platform/rules_record.h
@@ -1,5 +1,6 @@
-// The rules as the key-value service holds them: the text, its revision and
-// which changes led to it.
+// The rules as the key-value service holds them. One small key names the
+// revision in force and the changes that led to it; the text of each revision
+// has a key of its own and never changes.
 
 #ifndef MIMOSAGAUGE_IMPL_PLATFORM_RULES_RECORD_H_
 #define MIMOSAGAUGE_IMPL_PLATFORM_RULES_RECORD_H_
@@ -14,9 +15,7 @@
 
 namespace mimosagauge {
 
-/// Longest rules text that is accepted.
-inline constexpr std::size_t kMaxRulesBytes = 256U * 1024;
-/// Changes that a record remembers; older texts are dropped from the store.
+/// Changes that the head remembers, and revisions whose texts are kept.
 inline constexpr std::size_t kRememberedChanges = 32;
 
 /// \brief A change that was accepted, and the revision it made.
@@ -29,26 +28,31 @@
 };
 
 /// \brief What the rules key holds.
-struct RulesRecord {
-  Revision revision;  ///< Zero: the key does not exist.
+struct RulesHead {
+  Revision revision;  ///< Zero: no rules have been accepted.
   /// Newest first, at most `kRememberedChanges`; the first made `revision`.
   std::vector<AcceptedChange> changes;
-  std::string text;
 
-  [[nodiscard]] friend bool operator==(const RulesRecord&,
-                                       const RulesRecord&) = default;
+  [[nodiscard]] friend bool operator==(const RulesHead&,
+                                       const RulesHead&) = default;
+};
+
+/// \brief Head and text together.
+struct StoredRules {
+  RulesHead head;
+  std::string text;
 };
 
-/// \returns The key of the record.
+/// \returns The key of the head.
 [[nodiscard]] std::string RulesKey(const std::string& prefix);
 /// \returns The key of the text of one revision.
 [[nodiscard]] std::string RulesTextKey(const std::string& prefix,
                                        Revision revision);
 
-/// \returns The record as a value of the store.
-[[nodiscard]] std::string EncodeRulesRecord(const RulesRecord& record);
-/// \returns The record, or `kInvalidInput`.
-[[nodiscard]] Result<RulesRecord> DecodeRulesRecord(std::string_view value);
+/// \returns The head as a value of the store.
+[[nodiscard]] std::string EncodeRulesHead(const RulesHead& head);
+/// \returns The head, or `kInvalidInput`.
+[[nodiscard]] Result<RulesHead> DecodeRulesHead(std::string_view value);
 
 }  // namespace mimosagauge
 
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -8,9 +8,13 @@
 namespace {
 
 constexpr std::array kCatalogue{
-    log_events::kStarted,         log_events::kDraining,
-    log_events::kStopped,         log_events::kDrainTimeout,
-    log_events::kUpstreamEjected,
+    log_events::kStarted,          log_events::kDraining,
+    log_events::kStopped,          log_events::kDrainTimeout,
+    log_events::kStoreUnreachable, log_events::kStoreReachable,
+    log_events::kWatchSilent,      log_events::kOperatorRefused,
+    log_events::kRulesLearned,     log_events::kRulesDamaged,
+    log_events::kRulesRemoved,     log_events::kRulesOlder,
+    log_events::kRulesAccepted,    log_events::kUpstreamEjected,
 };
 
 }  // namespace
--- /dev/null
+++ b/src/duties/operators_documents.cc
@@ -0,0 +1,252 @@
+// Documents of the operators' API.
+
+#include "operators_documents.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace mimosagauge::detail {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kTypePrefix = "urn:mimosagauge:problem:";
+
+[[nodiscard]] std::string ToText(const json& document) {
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+[[nodiscard]] OperatorAnswer Answer(const json& document) {
+  return {200, "application/json", ToText(document)};
+}
+
+[[nodiscard]] std::string TypeOf(ErrorKind kind) {
+  std::string type = ToString(kind);
+  std::replace(type.begin(), type.end(), ' ', '-');
+  return kTypePrefix + type;
+}
+
+[[nodiscard]] json ProblemDocument(unsigned status, const Error& error) {
+  return {{"type", TypeOf(error.kind)},
+          {"title", ToString(error.kind)},
+          {"status", status},
+          {"detail", error.message},
+          {"remedy", error.remedy}};
+}
+
+[[nodiscard]] unsigned StatusOf(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kInvalidInput:
+      return 400;
+    case ErrorKind::kInvalidRules:
+      return 422;
+    case ErrorKind::kUnauthenticated:
+      return 401;
+    case ErrorKind::kNotFound:
+      return 404;
+    case ErrorKind::kConflict:
+      return 409;
+    case ErrorKind::kOverloaded:
+    case ErrorKind::kUnavailable:
+      return 503;
+    case ErrorKind::kTimeout:
+    case ErrorKind::kUnknownOutcome:
+      return 504;
+    default:
+      return 500;
+  }
+}
+
+[[nodiscard]] json ToJson(const RuleFault& fault) {
+  return {{"line", fault.line},
+          {"column", fault.column},
+          {"message", fault.message},
+          {"remedy", fault.remedy}};
+}
+
+[[nodiscard]] json ToJson(const RulesConflict& conflict) {
+  return {{"line", conflict.line},
+          {"base", conflict.base},
+          {"theirs", conflict.theirs},
+          {"mine", conflict.mine}};
+}
+
+struct OutcomeWriter {
+  [[nodiscard]] OperatorAnswer operator()(const RulesAccepted& accepted) const {
+    return Answer({{"revision", accepted.revision.value()},
+                   {"merged", accepted.merged},
+                   {"written", accepted.written}});
+  }
+
+  [[nodiscard]] OperatorAnswer operator()(const RulesRefused& refused) const {
+    const unsigned status = StatusOf(refused.error.kind);
+    json document = ProblemDocument(status, refused.error);
+    const bool unknown = refused.error.kind == ErrorKind::kUnknownOutcome;
+    document["run"] = unknown ? "unknown" : "not_run";
+    for (const RuleFault& fault : refused.faults) {
+      document["faults"].push_back(ToJson(fault));
+    }
+    for (const RulesConflict& conflict : refused.conflicts) {
+      document["conflicts"].push_back(ToJson(conflict));
+    }
+    return {status, "application/problem+json", ToText(document)};
+  }
+};
+
+[[nodiscard]] json RevisionDocument(const InstanceId& id,
+                                    const RegionId& region) {
+  return {{"instance", id.value()},
+          {"region", region.value()},
+          {"revision", nullptr},
+          {"age_ms", nullptr}};
+}
+
+[[nodiscard]] json ToJson(const EntryInstance& entry) {
+  return {{"instance", entry.id.value()},
+          {"region", entry.region.value()},
+          {"zone", entry.zone.value()},
+          {"entry", ToString(entry.entry)}};
+}
+
+[[nodiscard]] json ToJson(const UpstreamView& upstream) {
+  return {
+      {"upstream", upstream.id.value()}, {"service", upstream.service.value()},
+      {"zone", upstream.zone.value()},   {"state", upstream.state},
+      {"in_flight", upstream.in_flight}, {"limit", upstream.limit}};
+}
+
+[[nodiscard]] Error InvalidEdit(const std::string& message) {
+  return {ErrorKind::kInvalidInput, message,
+          "send a JSON object with `change` and one of `text`, `add` or "
+          "`remove`"};
+}
+
+// Whether the field is missing or of the type; every other field is unknown.
+[[nodiscard]] bool FieldsHold(const json& object) {
+  for (const auto& [name, value] : object.items()) {
+    const bool text =
+        name == "change" || name == "text" || name == "add" || name == "remove";
+    const bool flag = name == "overwrite" || name == "first";
+    const bool number = name == "base";
+    const bool holds = (text && value.is_string()) ||
+                       (flag && value.is_boolean()) ||
+                       (number && value.is_number_unsigned());
+    if (!holds) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+OperatorAnswer ProblemAnswer(unsigned status, const Error& error) {
+  return {status, "application/problem+json",
+          ToText(ProblemDocument(status, error))};
+}
+
+OperatorAnswer RulesAnswer(const InstanceView& view) {
+  if (view.rules == nullptr) {
+    return ProblemAnswer(404,
+                         {ErrorKind::kNotFound, "no rules are in force here",
+                          "apply rules; `rules status` shows the others"});
+  }
+  return Answer(
+      {{"revision", view.rules->revision.value()}, {"text", view.rules->text}});
+}
+
+OperatorAnswer RulesStatusAnswer(const Settings& settings,
+                                 const InstanceView& view) {
+  std::map<std::string, json> by_instance;
+  for (const PeerSettings& peer : settings.peers) {
+    by_instance[peer.id.value()] = RevisionDocument(peer.id, peer.region);
+  }
+  for (const EntryInstance& entry : view.entries) {
+    by_instance[entry.id.value()] = RevisionDocument(entry.id, entry.region);
+  }
+  for (const InstanceRevisionView& known : view.revisions) {
+    json& document = by_instance[known.id.value()];
+    document = RevisionDocument(known.id, known.region);
+    if (known.revision) {
+      document["revision"] = known.revision->value();
+      document["age_ms"] =
+          std::chrono::duration_cast<std::chrono::milliseconds>(known.age)
+              .count();
+    }
+  }
+  json& own = by_instance[settings.instance.value()];
+  own = RevisionDocument(settings.instance, settings.region);
+  if (view.rules != nullptr) {
+    own["revision"] = view.rules->revision.value();
+    own["age_ms"] = 0;
+  }
+  json instances = json::array();
+  for (auto& [id, document] : by_instance) {
+    instances.push_back(std::move(document));
+  }
+  return Answer({{"instance", settings.instance.value()},
+                 {"instances", std::move(instances)}});
+}
+
+OperatorAnswer InstancesAnswer(const Settings& settings,
+                               const InstanceView& view) {
+  json entries = json::array();
+  for (const EntryInstance& entry : view.entries) {
+    entries.push_back(ToJson(entry));
+  }
+  return Answer({{"instance", settings.instance.value()},
+                 {"region", settings.region.value()},
+                 {"zone", settings.zone.value()},
+                 {"ready", view.ready},
+                 {"draining", view.draining},
+                 {"entries", std::move(entries)}});
+}
+
+OperatorAnswer UpstreamsAnswer(const InstanceView& view) {
+  json upstreams = json::array();
+  for (const UpstreamView& upstream : view.upstreams) {
+    upstreams.push_back(ToJson(upstream));
+  }
+  return Answer({{"upstreams", std::move(upstreams)}});
+}
+
+OperatorAnswer OutcomeAnswer(const RulesOutcome& outcome) {
+  return std::visit(OutcomeWriter{}, outcome);
+}
+
+Result<RulesEdit> DecodeEdit(const std::string& body) {
+  const json object = json::parse(body, nullptr, false);
+  if (!object.is_object()) {
+    return InvalidEdit("the body is not a JSON object");
+  }
+  if (!FieldsHold(object)) {
+    return InvalidEdit("a field is unknown or of the wrong type");
+  }
+  const std::size_t kinds =
+      object.count("text") + object.count("add") + object.count("remove");
+  if (kinds != 1 || !object.contains("change")) {
+    return InvalidEdit("the edit is missing or there is more than one");
+  }
+  RulesEdit edit;
+  edit.change = ChangeId{object["change"].get<std::string>()};
+  if (object.contains("add")) {
+    edit.edit =
+        AddRule{object["add"].get<std::string>(), object.value("first", false)};
+  } else if (object.contains("remove")) {
+    edit.edit = RemoveRule{object["remove"].get<std::string>()};
+  } else {
+    ReplaceRules replace{object["text"].get<std::string>(), std::nullopt,
+                         object.value("overwrite", false)};
+    if (object.contains("base")) {
+      replace.base = Revision{object["base"].get<std::uint64_t>()};
+    }
+    edit.edit = std::move(replace);
+  }
+  return edit;
+}
+
+}  // namespace mimosagauge::detail
--- /dev/null
+++ b/src/duties/operators_documents.h
@@ -0,0 +1,36 @@
+// The JSON documents that operators read and write.
+
+#ifndef MIMOSAGAUGE_SRC_DUTIES_OPERATORS_DOCUMENTS_H_
+#define MIMOSAGAUGE_SRC_DUTIES_OPERATORS_DOCUMENTS_H_
+
+#include <string>
+
+#include "mimosagauge/impl/core/error.h"
+#include "mimosagauge/impl/decisions/view.h"
+#include "mimosagauge/impl/duties/operators_duty.h"
+#include "mimosagauge/impl/platform/rules_change.h"
+#include "mimosagauge/impl/settings/settings.h"
+
+namespace mimosagauge::detail {
+
+/// \returns A problem document (RFC 9457) about the error.
+[[nodiscard]] OperatorAnswer ProblemAnswer(unsigned status, const Error& error);
+
+/// \returns The rules in force on this instance.
+[[nodiscard]] OperatorAnswer RulesAnswer(const InstanceView& view);
+/// \returns The revision in force, for every instance known by the settings or
+/// the view; null where it is not known.
+[[nodiscard]] OperatorAnswer RulesStatusAnswer(const Settings& settings,
+                                               const InstanceView& view);
+[[nodiscard]] OperatorAnswer InstancesAnswer(const Settings& settings,
+                                             const InstanceView& view);
+[[nodiscard]] OperatorAnswer UpstreamsAnswer(const InstanceView& view);
+/// \returns How an edit went.
+[[nodiscard]] OperatorAnswer OutcomeAnswer(const RulesOutcome& outcome);
+
+/// \returns The edit that a body describes, or `kInvalidInput`.
+[[nodiscard]] Result<RulesEdit> DecodeEdit(const std::string& body);
+
+}  // namespace mimosagauge::detail
+
+#endif  // MIMOSAGAUGE_SRC_DUTIES_OPERATORS_DOCUMENTS_H_
--- /dev/null
+++ b/src/duties/operators_server.cc
@@ -0,0 +1,271 @@
+// Sessions of the operators' address.
+
+#include "operators_server.h"
+
+#include <openssl/crypto.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+#include "mimosagauge/impl/duties/log.h"
+#include "operators_documents.h"
+
+namespace mimosagauge::detail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr int kHttp11 = 11;
+constexpr std::string_view kBearer = "Bearer ";
+// Accepting fails when file descriptors run out; trying again at once would
+// spin.
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
+[[nodiscard]] std::string_view ToView(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+bool SecretsEqual(std::string_view a, std::string_view b) {
+  return !a.empty() && a.size() == b.size() &&
+         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+/// \brief One connection: requests one after another.
+class OperatorSession : public std::enable_shared_from_this<OperatorSession> {
+ public:
+  OperatorSession(std::shared_ptr<OperatorsServer> server,
+                  asio::ip::tcp::socket socket)
+      : server_(std::move(server)), stream_(std::move(socket)) {}
+
+  void Read() {
+    parser_.emplace();
+    parser_->header_limit(
+        static_cast<std::uint32_t>(server_->options().header_bytes));
+    parser_->body_limit(server_->options().body_bytes);
+    // The timeout of a request begins with its first byte.
+    stream_.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this()](const error_code& error) {
+          if (error || self->closed_) {
+            return self->Close();
+          }
+          self->ReadRequest();
+        });
+    WatchIdle();
+  }
+
+  void Close() {
+    if (std::exchange(closed_, true)) {
+      return;
+    }
+    idle_.cancel();
+    stream_.close();
+    server_->Leave(shared_from_this());
+  }
+
+ private:
+  void WatchIdle() {
+    idle_.expires_after(server_->options().idle_timeout);
+    idle_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error) {
+        self->Close();
+      }
+    });
+  }
+
+  void ReadRequest() {
+    idle_.cancel();
+    stream_.expires_after(server_->options().request_timeout);
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          if (self->closed_) {
+            return;
+          }
+          if (error) {
+            return self->RefuseInput(error);
+          }
+          self->Dispatch();
+        });
+  }
+
+  void RefuseInput(const error_code& error) {
+    const bool gone =
+        error == http::error::end_of_stream || error == beast::error::timeout ||
+        error.category() !=
+            http::make_error_code(http::error::end_of_stream).category();
+    if (gone) {
+      return Close();
+    }
+    const bool large =
+        error == http::error::body_limit || error == http::error::header_limit;
+    keep_alive_ = false;
+    Write(ProblemAnswer(large ? 413 : 400,
+                        {ErrorKind::kInvalidInput,
+                         "the request is malformed: " + error.message(),
+                         "send an HTTP/1.1 request within the bounds"}));
+  }
+
+  [[nodiscard]] bool Authenticated() const {
+    const auto& request = parser_->get();
+    const std::string_view field = ToView(request[http::field::authorization]);
+    return field.substr(0, kBearer.size()) == kBearer &&
+           SecretsEqual(field.substr(kBearer.size()), server_->token());
+  }
+
+  void Dispatch() {
+    const auto& request = parser_->get();
+    keep_alive_ = request.keep_alive();
+    stream_.expires_never();
+    if (!Authenticated()) {
+      Log(log_events::kOperatorRefused);
+      keep_alive_ = false;
+      return Write(ProblemAnswer(
+          401, {ErrorKind::kUnauthenticated, "the operator's token is missing",
+                "send it as Authorization: Bearer"}));
+    }
+    const std::string_view target = ToView(request.target());
+    const OperatorRequest handed{
+        std::string(ToView(request.method_string())),
+        std::string(target.substr(0, target.find('?'))), request.body()};
+    server_->Serve(handed, [weak = weak_from_this()](OperatorAnswer&& answer) {
+      const auto self = weak.lock();
+      if (self && !self->closed_) {
+        self->Write(std::move(answer));
+      }
+    });
+  }
+
+  void Write(OperatorAnswer answer) {
+    response_ = {static_cast<http::status>(answer.status), kHttp11};
+    response_.set(http::field::content_type, answer.content_type);
+    response_.set(http::field::cache_control, "no-store");
+    response_.body() = std::move(answer.body);
+    response_.keep_alive(keep_alive_);
+    response_.prepare_payload();
+    stream_.expires_after(server_->options().request_timeout);
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          if (self->closed_) {
+            return;
+          }
+          if (error || !self->keep_alive_) {
+            return self->Close();
+          }
+          self->ReadNext();
+        });
+  }
+
+  void ReadNext() {
+    if (buffer_.size() == 0) {
+      return Read();
+    }
+    parser_.emplace();  // The next request has been received with the last.
+    parser_->header_limit(
+        static_cast<std::uint32_t>(server_->options().header_bytes));
+    parser_->body_limit(server_->options().body_bytes);
+    ReadRequest();
+  }
+
+  std::shared_ptr<OperatorsServer> server_;
+  beast::tcp_stream stream_;
+  asio::steady_timer idle_{stream_.get_executor()};
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+  bool keep_alive_ = false;
+  bool closed_ = false;
+};
+
+OperatorsServer::OperatorsServer(asio::io_context& io_context,
+                                 std::string token,
+                                 OperatorsDutyOptions options,
+                                 RequestHandler handler)
+    : acceptor_(io_context),
+      pause_(io_context),
+      token_(std::move(token)),
+      options_(options),
+      handler_(std::move(handler)) {}
+
+Result<Endpoint> OperatorsServer::Listen(const Endpoint& endpoint) {
+  const asio::ip::tcp::endpoint local(asio::ip::make_address(endpoint.address),
+                                      endpoint.port);
+  error_code error;
+  acceptor_.open(local.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(local, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error{ErrorKind::kUnavailable,
+                 "cannot listen for operators on " + ToString(endpoint) + ": " +
+                     error.message(),
+                 "choose a free address for listen.operators"};
+  }
+  Accept();
+  const auto bound = acceptor_.local_endpoint();
+  return Endpoint{bound.address().to_string(), bound.port()};
+}
+
+void OperatorsServer::Accept() {
+  acceptor_.async_accept(
+      [self = shared_from_this()](const error_code& error,
+                                  asio::ip::tcp::socket socket) {
+        if (!self->acceptor_.is_open()) {
+          return;
+        }
+        if (error) {
+          return self->AcceptLater();
+        }
+        // Beyond the bound the connection is closed at once.
+        if (self->sessions_.size() < self->options_.connections) {
+          const auto session =
+              std::make_shared<OperatorSession>(self, std::move(socket));
+          self->sessions_.insert(session);
+          session->Read();
+        }
+        self->Accept();
+      });
+}
+
+void OperatorsServer::AcceptLater() {
+  pause_.expires_after(kAcceptPause);
+  pause_.async_wait([self = shared_from_this()](const error_code& error) {
+    if (!error && self->acceptor_.is_open()) {
+      self->Accept();
+    }
+  });
+}
+
+void OperatorsServer::Leave(const std::shared_ptr<OperatorSession>& session) {
+  sessions_.erase(session);
+}
+
+void OperatorsServer::Stop() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  pause_.cancel();
+  handler_ = [](const OperatorRequest&, OperatorsDuty::AnswerHandler) {};
+  for (const auto& session : std::exchange(sessions_, {})) {
+    session->Close();
+  }
+}
+
+}  // namespace mimosagauge::detail
--- a/src/platform/rules_record.cc
+++ b/src/platform/rules_record.cc
@@ -1,4 +1,4 @@
-// The rules record as JSON.
+// The head of the rules as JSON.
 
 #include "mimosagauge/impl/platform/rules_record.h"
 
@@ -15,8 +15,8 @@
 
 [[nodiscard]] Error Malformed() {
   return Error{ErrorKind::kInvalidInput,
-               "the value of the rules key is not a rules record",
-               "write rules with `mimosagauge rules apply` only"};
+               "the value of the rules key was not written by this product",
+               "apply the whole rules with `rules apply --overwrite`"};
 }
 
 [[nodiscard]] bool ReadRevision(const json& object, Revision& revision) {
@@ -28,23 +28,15 @@
   return revision != Revision{};
 }
 
-[[nodiscard]] bool ReadText(const json& object, const char* name,
-                            std::string& text) {
-  const auto field = object.find(name);
-  if (field == object.end() || !field->is_string()) {
+[[nodiscard]] bool ReadChange(const json& object, AcceptedChange& change) {
+  if (!object.is_object() || !ReadRevision(object, change.revision)) {
     return false;
   }
-  text = field->get<std::string>();
-  return true;
-}
-
-[[nodiscard]] bool ReadChange(const json& object, AcceptedChange& change) {
-  std::string id;
-  if (!object.is_object() || !ReadText(object, "change", id) ||
-      !ReadRevision(object, change.revision)) {
+  const auto id = object.find("change");
+  if (id == object.end() || !id->is_string()) {
     return false;
   }
-  change.change = ChangeId{std::move(id)};
+  change.change = ChangeId{id->get<std::string>()};
   return true;
 }
 
@@ -56,27 +48,26 @@
   return prefix + "rules-texts/" + std::to_string(revision.value());
 }
 
-std::string EncodeRulesRecord(const RulesRecord& record) {
+std::string EncodeRulesHead(const RulesHead& head) {
   json changes = json::array();
-  for (const AcceptedChange& change : record.changes) {
+  for (const AcceptedChange& change : head.changes) {
     changes.push_back({{"change", change.change.value()},
                        {"revision", change.revision.value()}});
   }
   const json object{{"format", kFormat},
-                    {"revision", record.revision.value()},
-                    {"changes", std::move(changes)},
-                    {"text", record.text}};
+                    {"revision", head.revision.value()},
+                    {"changes", std::move(changes)}};
   return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-Result<RulesRecord> DecodeRulesRecord(std::string_view value) {
+Result<RulesHead> DecodeRulesHead(std::string_view value) {
   const json object = json::parse(value, nullptr, false);
-  RulesRecord record;
-  const bool read = object.is_object() && object.value("format", json()) == kFormat &&
-                    ReadRevision(object, record.revision) &&
-                    ReadText(object, "text", record.text) &&
+  RulesHead head;
+  const bool read = object.is_object() &&
+                    object.value("format", json()) == kFormat &&
+                    ReadRevision(object, head.revision) &&
                     object.value("changes", json()).is_array();
-  if (!read || record.text.size() > kMaxRulesBytes) {
+  if (!read) {
     return Malformed();
   }
   for (const json& item : object["changes"]) {
@@ -84,9 +75,9 @@
     if (!ReadChange(item, change)) {
       return Malformed();
     }
-    record.changes.push_back(std::move(change));
+    head.changes.push_back(std::move(change));
   }
-  return record;
+  return head;
 }
 
 }  // namespace mimosagauge
--- a/src/platform/rules_writer.cc
+++ b/src/platform/rules_writer.cc
@@ -49,14 +49,54 @@
     if (read.entries.empty()) {
       return Plan(std::nullopt);
     }
-    const Result<RulesRecord> record =
-        DecodeRulesRecord(read.entries.front().value);
-    if (!record) {
-      return Refuse(record.error());
-    }
-    stored_ = record.value();
     modified_ = read.entries.front().modified;
-    Plan(std::nullopt);
+    const auto head = DecodeRulesHead(read.entries.front().value);
+    if (!head) {
+      return PlanWithoutText(head.error());
+    }
+    stored_.head = head.value();
+    ReadText(stored_.head.revision,
+             [self = shared_from_this()](std::optional<std::string>&& text) {
+               if (!text) {
+                 return self->PlanWithoutText(MissingText());
+               }
+               self->stored_.text = std::move(*text);
+               self->Plan(std::nullopt);
+             });
+  }
+
+  // What the store holds is damaged; only a whole new text can mend it.
+  void PlanWithoutText(const Error& error) {
+    if (Overwrites(edit_)) {
+      return Plan(std::nullopt);
+    }
+    Refuse(error);
+  }
+
+  [[nodiscard]] static Error MissingText() {
+    return {ErrorKind::kNotFound,
+            "the store no longer holds the text of the rules in force",
+            "apply the whole rules with `rules apply --overwrite`"};
+  }
+
+  using TextHandler = std::function<void(std::optional<std::string>&&)>;
+
+  void ReadText(Revision revision, TextHandler handler) {
+    const auto store = store_.lock();
+    if (store == nullptr) {
+      return;
+    }
+    store->Get({RulesTextKey(settings_.prefix, revision)},
+               [self = shared_from_this(),
+                handler = std::move(handler)](Result<StoreRead>&& read) {
+                 if (!read) {
+                   return self->TryAgain(read.error());
+                 }
+                 if (read.value().entries.empty()) {
+                   return handler(std::nullopt);
+                 }
+                 handler(std::move(read.value().entries.front().value));
+               });
   }
 
   // The store's own revision rises also when the key is removed and written
@@ -80,20 +120,13 @@
   }
 
   void ReadBase(Revision base) {
-    const auto store = store_.lock();
-    if (store == nullptr) {
-      return;
-    }
-    store->Get({RulesTextKey(settings_.prefix, base)},
-               [self = shared_from_this()](Result<StoreRead>&& read) {
-                 if (!read) {
-                   return self->TryAgain(read.error());
-                 }
-                 if (read.value().entries.empty()) {
-                   return self->RefuseBase();
-                 }
-                 self->Plan(read.value().entries.front().value);
-               });
+    ReadText(base,
+             [self = shared_from_this()](std::optional<std::string>&& text) {
+               if (!text) {
+                 return self->RefuseBase();
+               }
+               self->Plan(text);
+             });
   }
 
   void Write(WriteRules write) {
@@ -101,11 +134,9 @@
     const std::string key = RulesKey(settings_.prefix);
     transaction.conditions.push_back({key, modified_});
     transaction.writes.emplace_back(
-        StorePut{key, EncodeRulesRecord(write.record), {}});
-    transaction.writes.emplace_back(
-        StorePut{RulesTextKey(settings_.prefix, write.record.revision),
-                 write.record.text,
-                 {}});
+        StorePut{key, EncodeRulesHead(write.head), {}});
+    transaction.writes.emplace_back(StorePut{
+        RulesTextKey(settings_.prefix, write.head.revision), write.text, {}});
     for (const Revision revision : write.forgotten) {
       transaction.writes.emplace_back(
           StoreDelete{RulesTextKey(settings_.prefix, revision)});
@@ -129,8 +160,8 @@
       return TryAgain(commit.error());
     }
     if (commit.value().applied) {
-      return handler_(RulesAccepted{write.record.revision, write.record.text,
-                                    write.merged, true});
+      return handler_(
+          RulesAccepted{write.head.revision, write.text, write.merged, true});
     }
     // Somebody else was faster, or an earlier try of this edit.
     if (Clock::now() >= deadline_) {
@@ -182,7 +213,7 @@
   RulesOutcomeHandler handler_;
   boost::asio::steady_timer pause_;
   Clock::time_point deadline_;
-  RulesRecord stored_;
+  StoredRules stored_;
   StoreRevision modified_;  // Of the rules key; zero: it does not exist.
   StoreRevision store_revision_;
   bool unknown_ = false;  // A write's answer has been lost.
