--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -95,6 +95,8 @@
   Mailbox<UpstreamEffect> to_upstreams_;
   Mailbox<LinkEffect> to_links_;
   Mailbox<PublishView> to_operators_;
+  Mailbox<ChangeRules> edits_;
+  Mailbox<RulesChanged> edit_outcomes_;
 
   CallerDuty caller_duty_;
   UpstreamDuty upstream_duty_;
@@ -118,11 +120,13 @@
       to_upstreams_(decisions_.io(), upstreams_.io(), kBusyRing),
       to_links_(decisions_.io(), links_.io(), kBusyRing),
       to_operators_(decisions_.io(), operators_.io(), kQuietRing),
+      edits_(operators_.io(), platform_.io(), kQuietRing),
+      edit_outcomes_(platform_.io(), operators_.io(), kQuietRing),
       caller_duty_(callers_.io(), settings, from_callers_),
       upstream_duty_(upstreams_.io(), settings, from_upstreams_),
       link_duty_(links_.io(), settings, from_links_),
-      platform_duty_(platform_.io(), settings, from_platform_),
-      operators_duty_(operators_.io(), settings, from_operators_),
+      platform_duty_(platform_.io(), settings, from_platform_, edit_outcomes_),
+      operators_duty_(operators_.io(), settings, from_operators_, edits_),
       decisions_duty_(
           decisions_.io(),
           MakeGateway(ConfigOf(settings), std::random_device{}()),
@@ -159,6 +163,12 @@
   to_operators_.set_handler([this](PublishView&& effect) {
     operators_duty_.Handle(std::move(effect));
   });
+  edits_.set_handler([this](ChangeRules&& command) {
+    platform_duty_.Handle(std::move(command));
+  });
+  edit_outcomes_.set_handler([this](RulesChanged&& reply) {
+    operators_duty_.Handle(std::move(reply));
+  });
 }
 
 Result<void> Instance::StartDuties() {
