--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -30,6 +30,15 @@
     log_events::kBrokenAnswer,
     log_events::kLinkPlain,
     log_events::kLinkAccepted,
+    log_events::kStoreUnreachable,
+    log_events::kStoreReachable,
+    log_events::kWatchSilent,
+    log_events::kOperatorRefused,
+    log_events::kRulesLearned,
+    log_events::kRulesDamaged,
+    log_events::kRulesRemoved,
+    log_events::kRulesOlder,
+    log_events::kRulesAccepted,
 };
 // clang-format on
 
