--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -84,7 +84,8 @@
 /// \brief Send control state to another instance; may be lost.
 struct SendGossip {
   InstanceId to;
-  std::string bytes;
+  std::string topic;
+  std::string data;
 };
 
 /// \brief Show this from now on.
--- a/src/duties/link_duty.cc
+++ b/src/duties/link_duty.cc
@@ -90,7 +90,10 @@
   std::visit(
       [this](auto&& one) {
         using One = std::decay_t<decltype(one)>;
-        if constexpr (kForClient<One>) {
+        if constexpr (std::is_same_v<One, SendGossip>) {
+          // What is not sent now is told again by the state machine itself.
+          (void)SendGossip(one.to, {std::move(one.topic), std::move(one.data)});
+        } else if constexpr (kForClient<One>) {
           client_.Handle(std::forward<decltype(one)>(one));
         } else {
           server_.Handle(std::forward<decltype(one)>(one));
