--- a/include/mimosagauge/impl/platform/rules_change.h
+++ b/include/mimosagauge/impl/platform/rules_change.h
@@ -13,6 +13,7 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/platform/rules_record.h"
+#include "mimosagauge/impl/rules/merge.h"
 #include "mimosagauge/impl/rules/rule_set.h"
 
 namespace mimosagauge {
@@ -39,14 +40,6 @@
   std::variant<ReplaceRules, AddRule, RemoveRule> edit;
 };
 
-/// \brief Lines of two edits that cannot both be had.
-struct RulesConflict {
-  std::uint32_t line = 0;  ///< In the base text, from 1.
-  std::vector<std::string> base;
-  std::vector<std::string> theirs;  ///< Accepted already.
-  std::vector<std::string> mine;    ///< Of the edit that is refused.
-};
-
 /// \brief The edit took effect.
 struct RulesAccepted {
   Revision revision;
@@ -59,7 +52,7 @@
 struct RulesRefused {
   Error error;
   std::vector<RuleFault> faults;
-  std::vector<RulesConflict> conflicts;
+  std::vector<MergeConflict> conflicts;
 };
 
 using RulesOutcome = std::variant<RulesAccepted, RulesRefused>;
--- a/src/duties/operators_documents.cc
+++ b/src/duties/operators_documents.cc
@@ -68,11 +68,15 @@
           {"remedy", fault.remedy}};
 }
 
-[[nodiscard]] json ToJson(const RulesConflict& conflict) {
-  return {{"line", conflict.line},
-          {"base", conflict.base},
-          {"theirs", conflict.theirs},
-          {"mine", conflict.mine}};
+[[nodiscard]] json ToJson(const MergeSide& side) {
+  return {
+      {"line", side.line}, {"text", side.text}, {"asked_by", side.asked_by}};
+}
+
+[[nodiscard]] json ToJson(const MergeConflict& conflict) {
+  return {{"base", ToJson(conflict.base)},
+          {"theirs", ToJson(conflict.theirs)},
+          {"mine", ToJson(conflict.mine)}};
 }
 
 struct OutcomeWriter {
@@ -90,7 +94,7 @@
     for (const RuleFault& fault : refused.faults) {
       document["faults"].push_back(ToJson(fault));
     }
-    for (const RulesConflict& conflict : refused.conflicts) {
+    for (const MergeConflict& conflict : refused.conflicts) {
       document["conflicts"].push_back(ToJson(conflict));
     }
     return {status, "application/problem+json", ToText(document)};
--- a/src/platform/rules_change.cc
+++ b/src/platform/rules_change.cc
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "mimosagauge/impl/rules/rule_text.h"
+
 namespace mimosagauge {
 namespace {
 
@@ -151,9 +153,18 @@
 
  private:
   [[nodiscard]] NewTextOrPlan Merge(const ReplaceRules& edit) const {
-    static_cast<void>(edit);
-    return Refuse(ErrorKind::kConflict, "others changed the rules meanwhile",
-                  "take the rules from `rules show` and make the edit again");
+    MergeResult merge = MergeRules(*base_text, stored.text, edit.text);
+    if (merge.clean()) {
+      return NewText{std::move(merge.text), true};
+    }
+    RulesRefused refused =
+        Refuse(ErrorKind::kConflict,
+               fmt::format("others changed the same lines since revision {}; "
+                           "revision {} is in force",
+                           edit.base->value(), stored.head.revision.value()),
+               "take the rules from `rules show` and make the edit again");
+    refused.conflicts = std::move(merge.conflicts);
+    return refused;
   }
 };
 
