--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -126,18 +126,18 @@
       decisions_duty_(
           decisions_.io(),
           MakeGateway(ConfigOf(settings), std::random_device{}()),
-          DecisionOutputs{
-              to_callers_, to_upstreams_, to_links_, to_operators_,
-              [this] {
-                boost::asio::post(callers_.io(),
-                                  [this] { caller_duty_.StopAccepting(); });
-              },
-              [this](bool in_time) {
-                boost::asio::post(process_, [this, in_time] {
-                  in_time_ = in_time;
-                  process_.stop();
-                });
-              }}) {
+          DecisionOutputs{to_callers_, to_upstreams_, to_links_, to_operators_,
+                          [this] {
+                            boost::asio::post(callers_.io(), [this] {
+                              caller_duty_.StopAccepting();
+                            });
+                          },
+                          [this](bool in_time) {
+                            boost::asio::post(process_, [this, in_time] {
+                              in_time_ = in_time;
+                              process_.stop();
+                            });
+                          }}) {
   Connect();
 }
 
@@ -211,8 +211,8 @@
       {{"instance", settings_.instance.value()},
        {"region", settings_.region.value()},
        {"zone", settings_.zone.value()},
-       {"entry", ToString(Endpoint{settings_.entry.address,
-                                   caller_duty_.port()})}});
+       {"entry",
+        ToString(Endpoint{settings_.entry.address, caller_duty_.port()})}});
   AwaitSignal();
   process_.run();
   StopDuties();
--- a/src/platform/rules_record.cc
+++ b/src/platform/rules_record.cc
@@ -72,7 +72,8 @@
 Result<RulesRecord> DecodeRulesRecord(std::string_view value) {
   const json object = json::parse(value, nullptr, false);
   RulesRecord record;
-  const bool read = object.is_object() && object.value("format", json()) == kFormat &&
+  const bool read = object.is_object() &&
+                    object.value("format", json()) == kFormat &&
                     ReadRevision(object, record.revision) &&
                     ReadText(object, "text", record.text) &&
                     object.value("changes", json()).is_array();
--- a/src/platform/store_call.cc
+++ b/src/platform/store_call.cc
@@ -83,9 +83,9 @@
 
 void StoreCall::Connect() {
   const StoreClientSettings& settings = connections_->settings();
-  connection_ = std::make_unique<StoreConnection>(StoreConnection{
-      beast::tcp_stream(connections_->io_context()), connections_->preferred(),
-      Clock::time_point{}});
+  connection_ = std::make_unique<StoreConnection>(
+      StoreConnection{beast::tcp_stream(connections_->io_context()),
+                      connections_->preferred(), Clock::time_point{}});
   const Endpoint& endpoint = settings.endpoints[connection_->endpoint];
   connection_->stream.expires_after(
       std::min(settings.connect_timeout, Remaining()));
--- a/src/platform/store_call.h
+++ b/src/platform/store_call.h
@@ -55,8 +55,8 @@
   bool sent_ = false;  // In any try, as far as cannot be ruled out.
   boost::beast::flat_buffer buffer_;
   boost::beast::http::request<boost::beast::http::string_body> message_;
-  std::optional<boost::beast::http::response_parser<
-      boost::beast::http::string_body>>
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
       parser_;
 };
 
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -73,15 +73,13 @@
 
 void StoreClient::Commit(const StoreTransaction& transaction,
                          Handler<StoreCommit> handler) {
-  connections_->Call(
-      {"/v3/kv/txn", EncodeTransaction(transaction), false},
-      DecodingWrite(&DecodeTransaction, std::move(handler)));
+  connections_->Call({"/v3/kv/txn", EncodeTransaction(transaction), false},
+                     DecodingWrite(&DecodeTransaction, std::move(handler)));
 }
 
 void StoreClient::GrantLease(Duration ttl, Handler<StoreLease> handler) {
-  connections_->Call(
-      {"/v3/lease/grant", EncodeGrant(ttl), false},
-      DecodingWrite(&DecodeGrant, std::move(handler)));
+  connections_->Call({"/v3/lease/grant", EncodeGrant(ttl), false},
+                     DecodingWrite(&DecodeGrant, std::move(handler)));
 }
 
 void StoreClient::KeepAlive(LeaseId lease, Handler<StoreLease> handler) {
@@ -93,8 +91,7 @@
   connections_->Call(
       {"/v3/lease/revoke", EncodeLease(lease), true},
       [lease, handler = std::move(handler)](Result<std::string>&& answer) {
-        const bool gone =
-            answer || answer.error().kind == ErrorKind::kNotFound;
+        const bool gone = answer || answer.error().kind == ErrorKind::kNotFound;
         if (gone) {
           return handler(lease);
         }
--- a/src/platform/store_codec.cc
+++ b/src/platform/store_codec.cc
@@ -25,10 +25,10 @@
 constexpr std::size_t kMaxQuotedBytes = 200;
 
 [[nodiscard]] Error Malformed(std::string_view what) {
-  return Error{ErrorKind::kInvalidInput,
-               fmt::format("the key-value service's answer is malformed: {}",
-                           what),
-               "check that the store addresses name an etcd v3 service"};
+  return Error{
+      ErrorKind::kInvalidInput,
+      fmt::format("the key-value service's answer is malformed: {}", what),
+      "check that the store addresses name an etcd v3 service"};
 }
 
 [[nodiscard]] std::string ToText(std::uint64_t number) {
@@ -364,8 +364,8 @@
       fmt::format("the key-value service answered {}", status);
   const auto detail = answer.find("message");
   if (detail != answer.end() && detail->is_string()) {
-    message += ": " + detail->get_ref<const std::string&>().substr(
-                          0, kMaxQuotedBytes);
+    message +=
+        ": " + detail->get_ref<const std::string&>().substr(0, kMaxQuotedBytes);
   }
   if (status == 404 || code == kCodeNotFound) {
     return {ErrorKind::kNotFound, message, ""};
--- a/src/platform/store_connections.cc
+++ b/src/platform/store_connections.cc
@@ -56,8 +56,7 @@
 }
 
 StoreConnectionPtr StoreConnections::TakeIdle() {
-  const auto oldest =
-      std::chrono::steady_clock::now() - settings_.idle_timeout;
+  const auto oldest = std::chrono::steady_clock::now() - settings_.idle_timeout;
   while (!idle_.empty()) {
     StoreConnectionPtr connection = std::move(idle_.back());
     idle_.pop_back();
--- a/src/platform/store_watch_loop.cc
+++ b/src/platform/store_watch_loop.cc
@@ -132,8 +132,8 @@
 }
 
 void StoreWatchLoop::Take(const ConnectionPtr& connection, std::size_t bytes) {
-  for (const char character : std::string_view(connection->chunk.data(),
-                                               bytes)) {
+  for (const char character :
+       std::string_view(connection->chunk.data(), bytes)) {
     if (character != '\n') {
       connection->line += character;
       continue;
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -161,7 +161,8 @@
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
         "Transfer-Encoding: chunked\r\n\r\n");
     const json created{
-        {"result", {{"header", standin_->state().Header()}, {"created", true}}}};
+        {"result",
+         {{"header", standin_->state().Header()}, {"created", true}}}};
     Send(Chunk(created.dump() + "\n"));
     TellWatch();
     ReadUntilClosed();
@@ -325,8 +326,8 @@
 void StoreStandin::SetFaults(const json& request) {
   faults_.down = request.value("down", faults_.down);
   faults_.silent = request.value("silent", faults_.silent);
-  faults_.slow = std::chrono::milliseconds(
-      request.value("slow_ms", faults_.slow.count()));
+  faults_.slow =
+      std::chrono::milliseconds(request.value("slow_ms", faults_.slow.count()));
   faults_.lose_answers = request.value("lose_answers", faults_.lose_answers);
   if (request.contains("lapse_lease")) {
     const std::string lease = request["lapse_lease"].get<std::string>();
--- a/tests/support/store_state.h
+++ b/tests/support/store_state.h
@@ -25,7 +25,7 @@
 /// \brief What a watch asked for.
 struct StoreWatchRequest {
   std::string key;
-  std::string range_end;  ///< Empty: just the key.
+  std::string range_end;   ///< Empty: just the key.
   std::uint64_t next = 0;  ///< First revision not yet told.
 };
 
@@ -83,8 +83,8 @@
   [[nodiscard]] bool LeasesExist(const nlohmann::json& operations) const;
   [[nodiscard]] nlohmann::json Apply(const nlohmann::json& operation,
                                      std::uint64_t at);
-  void Set(const std::string& key, const std::string& value,
-           std::int64_t lease, std::uint64_t at);
+  void Set(const std::string& key, const std::string& value, std::int64_t lease,
+           std::uint64_t at);
   std::uint64_t Remove(const std::string& key, const std::string& range_end,
                        std::uint64_t at);
 
