--- a/tests/property/merge_property_test.cc
+++ b/tests/property/merge_property_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <string>
+#include <vector>
 
 #include "mimosagauge/impl/rules/merge.h"
 
