Fuzz targets are built with coverage counters

Cause: libFuzzer found no instrumentation and ended at once. Change: all targets of the fuzz preset are compiled with fuzzer-no-link.

--- a/cmake/warnings.cmake
+++ b/cmake/warnings.cmake
@@ -10,6 +10,10 @@
                            -fno-omit-frame-pointer -fno-sanitize-recover=all
                            -O1)
     target_link_options(${target} PRIVATE -fsanitize=${MIMOSAGAUGE_SANITIZE})
+    if(MIMOSAGAUGE_FUZZ)
+      # Counts the branches that an input reaches.
+      target_compile_options(${target} PRIVATE -fsanitize=fuzzer-no-link)
+    endif()
     if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
       # Sanitizer instrumentation makes GCC 12 report false positives here.
       target_compile_options(${target} PRIVATE -Wno-maybe-uninitialized
