--- a/tests/unit/queries_exit_codes_test.cc
+++ b/tests/unit/queries_exit_codes_test.cc
@@ -30,10 +30,16 @@
   const std::string examples = MIMOSAGAUGE_SOURCE_DIR "/examples/kamau/";
   const std::string good_rules = examples + "rules.txt";
   const std::string good_settings = examples + "nairobi-a-1.yaml";
+  const std::string other_settings =
+      MIMOSAGAUGE_SOURCE_DIR "/examples/cabine-nordeste/salvador-pituba-1.yaml";
   const std::string faulty = MIMOSAGAUGE_SOURCE_DIR "/CMakeLists.txt";
   const auto example = GENERATE_COPY(values<Example>({
       {{"rules", "check", good_rules}, kExitOk},
       {{"rules", "check", good_rules, "--json"}, kExitOk},
+      {{"rules", "check", good_rules, "--settings", good_settings}, kExitOk},
+      {{"rules", "check", good_rules, "--settings", other_settings},
+       kExitFailed},
+      {{"rules", "check", good_rules, "--settings", faulty}, kExitFailed},
       {{"rules", "check", faulty}, kExitFailed},
       {{"rules", "check", faulty, "--json"}, kExitFailed},
       {{"rules", "check", examples}, kExitFailed},
