--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -34,6 +34,32 @@
     1004, LogLevel::kWarning, "graceful shutdown ran out of time",
     "raise limits.drain or look for requests that do not end"};
 
+inline constexpr LogEvent kListening{2001, LogLevel::kInfo,
+                                     "listening for callers", ""};
+inline constexpr LogEvent kRequestRefused{
+    2002, LogLevel::kWarning, "refused a request before it was read whole",
+    "the detail says what the caller has to change"};
+inline constexpr LogEvent kCallerLeft{
+    2003, LogLevel::kInfo, "caller went away before its answer was complete",
+    ""};
+inline constexpr LogEvent kCallerStalled{
+    2004, LogLevel::kWarning, "caller took no part of its answer for too long",
+    "raise limits.idle_timeout if callers may pause that long"};
+inline constexpr LogEvent kAnswerBrokenOff{
+    2005, LogLevel::kWarning, "broke off an answer that had begun",
+    "the detail says why; the caller sees a reset connection"};
+inline constexpr LogEvent kAcceptFailed{
+    2006, LogLevel::kError, "cannot accept a connection",
+    "raise the limit on open files or lower limits.connections"};
+inline constexpr LogEvent kFileLimit{
+    2007, LogLevel::kWarning,
+    "the limit on open files allows fewer connections than the settings",
+    "raise the limit on open files or lower limits.connections"};
+
+inline constexpr LogEvent kAttemptFailed{
+    3001, LogLevel::kWarning, "an attempt at an upstream failed",
+    "the error says what happened; look at the upstream"};
+
 inline constexpr LogEvent kUpstreamEjected{
     8001, LogLevel::kWarning, "upstream gets no new work for a while",
     "look at the upstream; it failed several times in a row"};
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -3,6 +3,7 @@
 #ifndef MIMOSAGAUGE_IMPL_DECISIONS_EFFECTS_H_
 #define MIMOSAGAUGE_IMPL_DECISIONS_EFFECTS_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -16,6 +17,7 @@
 #include "mimosagauge/impl/decisions/events.h"
 #include "mimosagauge/impl/decisions/request.h"
 #include "mimosagauge/impl/decisions/view.h"
+#include "mimosagauge/impl/rules/verdict.h"
 
 namespace mimosagauge {
 
@@ -28,6 +30,7 @@
   Duration remaining{};  ///< Until the answer is due.
   Bytes credit;          ///< Body bytes it may pass on before more credit.
   std::optional<std::string> last_event_id;  ///< Resume after this event.
+  std::uint8_t priority = Verdict::kDefaultPriority;  ///< From the rules.
 };
 
 /// \brief Give the request to another instance.
--- /dev/null
+++ b/include/mimosagauge/impl/duties/upstream_pool.h
@@ -0,0 +1,51 @@
+// Connections to one upstream that wait for their next request.
+
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_POOL_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_POOL_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <optional>
+
+#include "mimosagauge/impl/settings/settings.h"
+
+namespace mimosagauge::detail {
+
+/// \brief Idle connections to one upstream.
+class UpstreamPool {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  explicit UpstreamPool(UpstreamSettings settings);
+
+  [[nodiscard]] const UpstreamSettings& settings() const noexcept {
+    return settings_;
+  }
+
+  /// \brief Takes out a connection that the upstream has not closed and has
+  /// sent nothing on.
+  [[nodiscard]] std::optional<boost::asio::ip::tcp::socket> Take();
+
+  /// \brief Keeps a connection for later, or closes it when there are enough.
+  void Return(boost::asio::ip::tcp::socket socket);
+
+  /// \brief Closes the connections that are old or that the upstream closed.
+  void Sweep(Clock::time_point now);
+
+  [[nodiscard]] std::size_t idle() const noexcept { return idle_.size(); }
+
+ private:
+  struct IdleSocket {
+    boost::asio::ip::tcp::socket socket;
+    Clock::time_point since;
+  };
+
+  UpstreamSettings settings_;
+  std::deque<IdleSocket> idle_;  // The one used last at the back.
+};
+
+}  // namespace mimosagauge::detail
+
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_POOL_H_
--- /dev/null
+++ b/include/mimosagauge/impl/duties/upstream_server.h
@@ -0,0 +1,52 @@
+// The table of an upstream duty: its pools and the attempts in progress.
+
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_SERVER_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <unordered_map>
+
+#include "mimosagauge/impl/decisions/effects.h"
+#include "mimosagauge/impl/decisions/events.h"
+#include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/upstream_pool.h"
+#include "mimosagauge/impl/settings/settings.h"
+
+namespace mimosagauge::detail {
+
+class UpstreamAttempt;
+
+/// \brief State shared by the attempts of one duty. All on its thread.
+class UpstreamServer {
+ public:
+  UpstreamServer(boost::asio::io_context& io, const Settings& settings,
+                 Mailbox<Event>& decisions);
+
+  void Start();
+  void Stop();
+  void Handle(UpstreamEffect&& effect);
+
+  // For the attempts.
+  [[nodiscard]] boost::asio::io_context& io() noexcept { return io_; }
+  [[nodiscard]] const Settings& settings() const noexcept { return settings_; }
+  void Post(Event event) { decisions_.Post(std::move(event)); }
+  void Remove(AttemptNumber attempt) { attempts_.erase(attempt); }
+
+ private:
+  void Begin(StartUpstreamAttempt&& start);
+  void Sweep();
+
+  boost::asio::io_context& io_;
+  const Settings& settings_;
+  Mailbox<Event>& decisions_;
+  boost::asio::steady_timer sweep_timer_;
+  std::unordered_map<UpstreamId, UpstreamPool> pools_;
+  std::unordered_map<AttemptNumber, std::shared_ptr<UpstreamAttempt>> attempts_;
+  bool stopped_ = false;
+};
+
+}  // namespace mimosagauge::detail
+
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_SERVER_H_
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -10,6 +10,10 @@
 constexpr std::array kCatalogue{
     log_events::kStarted,         log_events::kDraining,
     log_events::kStopped,         log_events::kDrainTimeout,
+    log_events::kListening,       log_events::kRequestRefused,
+    log_events::kCallerLeft,      log_events::kCallerStalled,
+    log_events::kAnswerBrokenOff, log_events::kAcceptFailed,
+    log_events::kFileLimit,       log_events::kAttemptFailed,
     log_events::kUpstreamEjected,
 };
 
--- /dev/null
+++ b/src/duties/caller_duty.cc
@@ -0,0 +1,30 @@
+// The face of the duty towards callers.
+
+#include "mimosagauge/impl/duties/caller_duty.h"
+
+#include <utility>
+
+#include "mimosagauge/impl/duties/caller_server.h"
+
+namespace mimosagauge {
+
+CallerDuty::CallerDuty(boost::asio::io_context& io, const Settings& settings,
+                       Mailbox<Event>& decisions)
+    : server_(std::make_unique<detail::CallerServer>(io, settings, decisions)) {
+}
+
+CallerDuty::~CallerDuty() = default;
+
+Result<void> CallerDuty::Start() { return server_->Listen(); }
+
+std::uint16_t CallerDuty::port() const noexcept { return server_->port(); }
+
+void CallerDuty::Handle(CallerEffect&& effect) {
+  server_->Handle(std::move(effect));
+}
+
+void CallerDuty::StopAccepting() { server_->StopAccepting(); }
+
+void CallerDuty::Stop() { server_->Stop(); }
+
+}  // namespace mimosagauge
--- /dev/null
+++ b/src/duties/caller_server.cc
@@ -0,0 +1,291 @@
+// Listening for callers, and the requests in progress.
+
+#include "mimosagauge/impl/duties/caller_server.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <utility>
+
+#include "mimosagauge/impl/core/log_catalogue.h"
+#include "mimosagauge/impl/duties/caller_connection.h"
+#include "mimosagauge/impl/duties/caller_problems.h"
+#include "mimosagauge/impl/duties/log.h"
+
+namespace mimosagauge::detail {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+// Bodies in memory at once, in units of the largest one.
+constexpr std::size_t kBodiesHeld = 32;
+// Connections beyond the limit that are told so before they are closed.
+constexpr std::size_t kRefusalConnections = 64;
+// Files that the process needs besides callers' connections.
+constexpr std::size_t kOtherFiles = 512;
+constexpr std::chrono::milliseconds kAcceptRetry{50};
+constexpr std::chrono::nanoseconds kLongestSweep = std::chrono::seconds(1);
+constexpr std::chrono::nanoseconds kShortestSweep =
+    std::chrono::milliseconds(5);
+constexpr int kSweepsPerTimeout = 8;
+
+// Raises the limit on open files as far as it goes.
+[[nodiscard]] std::size_t OpenFileLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return 0;
+  }
+  if (limit.rlim_cur < limit.rlim_max) {
+    limit.rlim_cur = limit.rlim_max;
+    if (setrlimit(RLIMIT_NOFILE, &limit) != 0) {
+      getrlimit(RLIMIT_NOFILE, &limit);
+    }
+  }
+  return limit.rlim_cur;
+}
+
+[[nodiscard]] Clock::duration SweepInterval(const LimitSettings& limits) {
+  const Duration shortest =
+      std::min(limits.header_timeout, limits.idle_timeout);
+  return std::clamp<Clock::duration>(shortest / kSweepsPerTimeout,
+                                     kShortestSweep, kLongestSweep);
+}
+
+}  // namespace
+
+CallerServer::CallerServer(asio::io_context& io, const Settings& settings,
+                           Mailbox<Event>& decisions)
+    : io_(io),
+      settings_(settings),
+      decisions_(decisions),
+      accounts_(settings.accounts),
+      bodies_(std::make_shared<BodyBudget>(kBodiesHeld *
+                                           settings.limits.body.count())),
+      view_(std::make_shared<InstanceView>()),
+      acceptor_(io),
+      sweep_timer_(io),
+      accept_timer_(io) {}
+
+Result<void> CallerServer::Listen() {
+  error_code error;
+  const auto address = asio::ip::make_address(settings_.entry.address, error);
+  const asio::ip::tcp::endpoint endpoint(address, settings_.entry.port);
+  if (!error) {
+    acceptor_.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error{ErrorKind::kUnavailable,
+                 "cannot listen on " + ToString(settings_.entry) + ": " +
+                     error.message(),
+                 "free the address or change 'entry' in the settings"};
+  }
+  port_ = acceptor_.local_endpoint().port();
+  accepting_ = true;
+  LimitConnections();
+  Log(log_events::kListening,
+      {{"address", ToString(Endpoint{settings_.entry.address, port_})}});
+  Accept();
+  Sweep();
+  return boost::outcome_v2::success();
+}
+
+void CallerServer::LimitConnections() {
+  connection_limit_ = settings_.limits.connections;
+  const std::size_t files = OpenFileLimit();
+  const std::size_t room =
+      files > 2 * kOtherFiles ? files - kOtherFiles : files / 2;
+  if (files == 0 || room >= connection_limit_) {
+    return;
+  }
+  connection_limit_ = room;
+  Log(log_events::kFileLimit, {{"files", std::to_string(files)},
+                               {"connections", std::to_string(room)}});
+}
+
+void CallerServer::Accept() {
+  acceptor_.async_accept(
+      [this](const error_code& error, asio::ip::tcp::socket socket) {
+        OnAccepted(error, std::move(socket));
+      });
+}
+
+void CallerServer::OnAccepted(const error_code& error,
+                              asio::ip::tcp::socket socket) {
+  if (!accepting_ || error == asio::error::operation_aborted) {
+    return;
+  }
+  if (error == asio::error::connection_aborted) {
+    Accept();
+    return;
+  }
+  if (error) {
+    Log(log_events::kAcceptFailed, {{"error", error.message()}});
+    RetryAccept();
+    return;
+  }
+  Admit(std::move(socket));
+  Accept();
+}
+
+void CallerServer::RetryAccept() {
+  accept_timer_.expires_after(kAcceptRetry);
+  accept_timer_.async_wait([this](const error_code& error) {
+    if (!error && accepting_) {
+      Accept();
+    }
+  });
+}
+
+void CallerServer::Admit(asio::ip::tcp::socket socket) {
+  const std::size_t open = connections_.size();
+  if (open >= connection_limit_ + kRefusalConnections) {
+    return;  // The socket closes with its scope.
+  }
+  auto connection =
+      std::make_shared<CallerConnection>(std::move(socket), *this);
+  connections_.insert(connection);
+  if (open < connection_limit_) {
+    connection->Start();
+    return;
+  }
+  connection->Refuse(OverloadedProblem("too many connections are open"));
+}
+
+void CallerServer::Sweep() {
+  const auto now = Clock::now();
+  // A connection that closes takes itself out of the set.
+  std::vector<std::shared_ptr<CallerConnection>> open(connections_.begin(),
+                                                      connections_.end());
+  for (const auto& connection : open) {
+    connection->CheckDeadline(now);
+  }
+  sweep_timer_.expires_after(SweepInterval(settings_.limits));
+  sweep_timer_.async_wait([this](const error_code& error) {
+    if (!error && !stopped_) {
+      Sweep();
+    }
+  });
+}
+
+std::variant<RequestNumber, Problem> CallerServer::Submit(
+    RequestHead head, BodyPtr body,
+    std::shared_ptr<CallerConnection> connection) {
+  if (decisions_.backlog() > 0) {
+    return OverloadedProblem("this instance is behind with its work");
+  }
+  if (requests_.size() >= settings_.limits.requests) {
+    return OverloadedProblem("too many requests are in progress");
+  }
+  const RequestNumber number{next_number_};
+  next_number_ += 2;
+  requests_.emplace(number, std::move(connection));
+  decisions_.Post(RequestArrived{
+      number, Origin::kCaller,
+      std::make_shared<const RequestHead>(std::move(head)), std::move(body)});
+  return number;
+}
+
+void CallerServer::Forget(RequestNumber number) { requests_.erase(number); }
+
+void CallerServer::Abandon(RequestNumber number) {
+  requests_.erase(number);
+  decisions_.Post(RequestAbandoned{number});
+}
+
+void CallerServer::Taken(RequestNumber number, std::uint64_t bytes) {
+  decisions_.Post(AnswerTaken{number, Bytes{bytes}});
+}
+
+void CallerServer::Remove(const std::shared_ptr<CallerConnection>& connection) {
+  connections_.erase(connection);
+}
+
+std::shared_ptr<CallerConnection> CallerServer::Find(RequestNumber number) {
+  const auto found = requests_.find(number);
+  return found == requests_.end() ? nullptr : found->second;
+}
+
+void CallerServer::Handle(CallerEffect&& effect) {
+  if (auto* publish = std::get_if<PublishView>(&effect)) {
+    view_ = std::move(publish->view);
+    return;
+  }
+  const RequestNumber number = std::visit(
+      [](const auto& item) {
+        if constexpr (requires { item.number; }) {
+          return item.number;
+        } else {
+          return RequestNumber{};
+        }
+      },
+      effect);
+  const auto connection = Find(number);
+  if (connection == nullptr) {
+    return;  // Its caller went away.
+  }
+  if (auto* head = std::get_if<SendAnswerHead>(&effect)) {
+    connection->SendHead(std::move(head->head));
+  } else if (const auto* body = std::get_if<SendAnswerBody>(&effect)) {
+    connection->SendBody(body->data);
+  } else if (std::holds_alternative<SendAnswerEnd>(effect)) {
+    connection->SendEnd();
+  } else if (const auto* abort = std::get_if<AbortAnswer>(&effect)) {
+    connection->Abort(abort->problem);
+  } else if (const auto* problem = std::get_if<SendProblem>(&effect)) {
+    connection->SendProblem(problem->problem);
+  }
+  Touch(connection);
+}
+
+// Effects that come together are written together.
+void CallerServer::Touch(const std::shared_ptr<CallerConnection>& connection) {
+  if (touched_.empty()) {
+    asio::post(io_, [this] { FlushTouched(); });
+  }
+  if (touched_.empty() || touched_.back() != connection) {
+    touched_.push_back(connection);
+  }
+}
+
+void CallerServer::FlushTouched() {
+  const auto touched = std::exchange(touched_, {});
+  for (const auto& connection : touched) {
+    connection->Flush();
+  }
+}
+
+void CallerServer::StopAccepting() {
+  accepting_ = false;
+  error_code ignored;
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+}
+
+void CallerServer::Stop() {
+  StopAccepting();
+  stopped_ = true;
+  sweep_timer_.cancel();
+  const auto open = std::exchange(connections_, {});
+  for (const auto& connection : open) {
+    connection->Close();
+  }
+  requests_.clear();
+  touched_.clear();
+}
+
+}  // namespace mimosagauge::detail
--- /dev/null
+++ b/src/duties/http_fields.cc
@@ -0,0 +1,115 @@
+// Selection of HTTP header fields.
+
+#include "mimosagauge/impl/duties/http_fields.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace mimosagauge {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::string_view kOwnPrefix = "Mimosagauge-";
+
+// Each hop writes these itself.
+constexpr std::array<std::string_view, 17> kOneHopFields{"Connection",
+                                                         "Keep-Alive",
+                                                         "Proxy-Connection",
+                                                         "Proxy-Authenticate",
+                                                         "Proxy-Authorization",
+                                                         "TE",
+                                                         "Trailer",
+                                                         "Transfer-Encoding",
+                                                         "Upgrade",
+                                                         "Host",
+                                                         "Content-Length",
+                                                         "Expect",
+                                                         "Authorization",
+                                                         "Idempotency-Key",
+                                                         "X-Request-Id",
+                                                         "Last-Event-ID",
+                                                         "HTTP2-Settings"};
+
+[[nodiscard]] std::string_view ToView(beast::string_view text) noexcept {
+  return {text.data(), text.size()};
+}
+
+[[nodiscard]] bool IsOwn(std::string_view name) noexcept {
+  return name.size() >= kOwnPrefix.size() &&
+         EqualsIgnoringCase(name.substr(0, kOwnPrefix.size()), kOwnPrefix);
+}
+
+[[nodiscard]] bool IsOneHop(std::string_view name) noexcept {
+  return std::any_of(kOneHopFields.begin(), kOneHopFields.end(),
+                     [name](std::string_view field) {
+                       return EqualsIgnoringCase(name, field);
+                     });
+}
+
+[[nodiscard]] bool IsNamedByConnection(const http::fields& fields,
+                                       beast::string_view name) {
+  const auto range = fields.equal_range(http::field::connection);
+  return std::any_of(range.first, range.second, [name](const auto& field) {
+    return http::token_list{field.value()}.exists(name);
+  });
+}
+
+}  // namespace
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) noexcept {
+  return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+bool IsFieldValue(std::string_view text) noexcept {
+  constexpr unsigned char kSpace = 0x20;
+  constexpr unsigned char kDelete = 0x7F;
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return (byte >= kSpace && byte != kDelete) || c == '\t';
+  });
+}
+
+std::vector<Header> EndToEndFields(const http::fields& fields) {
+  std::vector<Header> headers;
+  for (const auto& field : fields) {
+    const std::string_view name = ToView(field.name_string());
+    if (IsOwn(name) || IsOneHop(name) ||
+        IsNamedByConnection(fields, field.name_string())) {
+      continue;
+    }
+    headers.push_back({std::string(name), std::string(ToView(field.value()))});
+  }
+  return headers;
+}
+
+std::string_view FindField(const std::vector<Header>& headers,
+                           std::string_view name) noexcept {
+  for (const Header& header : headers) {
+    if (EqualsIgnoringCase(header.name, name)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+bool IsEventStream(const std::vector<Header>& headers) noexcept {
+  const std::string_view value = FindField(headers, "Content-Type");
+  const std::string_view type = value.substr(0, value.find_first_of("; \t"));
+  return EqualsIgnoringCase(type, "text/event-stream");
+}
+
+std::string FormatPath(const std::vector<Place>& path) {
+  std::string text;
+  for (const Place& place : path) {
+    text += text.empty() ? "" : ", ";
+    text += ToString(place);
+  }
+  return text;
+}
+
+}  // namespace mimosagauge
--- /dev/null
+++ b/src/duties/upstream_duty.cc
@@ -0,0 +1,26 @@
+// The face of the duty towards upstreams.
+
+#include "mimosagauge/impl/duties/upstream_duty.h"
+
+#include <utility>
+
+#include "mimosagauge/impl/duties/upstream_server.h"
+
+namespace mimosagauge {
+
+UpstreamDuty::UpstreamDuty(boost::asio::io_context& io,
+                           const Settings& settings, Mailbox<Event>& decisions)
+    : server_(
+          std::make_unique<detail::UpstreamServer>(io, settings, decisions)) {}
+
+UpstreamDuty::~UpstreamDuty() = default;
+
+void UpstreamDuty::Start() { server_->Start(); }
+
+void UpstreamDuty::Handle(UpstreamEffect&& effect) {
+  server_->Handle(std::move(effect));
+}
+
+void UpstreamDuty::Stop() { server_->Stop(); }
+
+}  // namespace mimosagauge
--- /dev/null
+++ b/src/duties/upstream_server.cc
@@ -0,0 +1,107 @@
+// Attempts and pools by name.
+
+#include "mimosagauge/impl/duties/upstream_server.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "mimosagauge/impl/duties/upstream_attempt.h"
+
+namespace mimosagauge::detail {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::nanoseconds kLongestSweep = std::chrono::seconds(1);
+constexpr std::chrono::nanoseconds kShortestSweep =
+    std::chrono::milliseconds(5);
+constexpr int kSweepsPerTimeout = 8;
+
+}  // namespace
+
+UpstreamServer::UpstreamServer(boost::asio::io_context& io,
+                               const Settings& settings,
+                               Mailbox<Event>& decisions)
+    : io_(io), settings_(settings), decisions_(decisions), sweep_timer_(io) {
+  for (const UpstreamSettings& upstream : settings.upstreams) {
+    pools_.emplace(upstream.id, UpstreamPool(upstream));
+  }
+}
+
+void UpstreamServer::Start() { Sweep(); }
+
+void UpstreamServer::Handle(UpstreamEffect&& effect) {
+  if (auto* start = std::get_if<StartUpstreamAttempt>(&effect)) {
+    Begin(std::move(*start));
+    return;
+  }
+  const AttemptNumber number =
+      std::visit([](const auto& item) { return item.attempt; }, effect);
+  const auto found = attempts_.find(number);
+  if (found == attempts_.end()) {
+    return;  // It is over.
+  }
+  const std::shared_ptr<UpstreamAttempt> attempt = found->second;
+  if (const auto* credit = std::get_if<CreditAttempt>(&effect)) {
+    attempt->Credit(credit->bytes);
+  } else {
+    attempt->Cancel();
+  }
+}
+
+void UpstreamServer::Begin(StartUpstreamAttempt&& start) {
+  const auto pool = pools_.find(start.upstream);
+  if (pool == pools_.end()) {
+    Post(AttemptFailed{
+        start.attempt,
+        RunState::kNotRun,
+        {ErrorKind::kNotFound, "no upstream is named " + start.upstream.value(),
+         "name it in the settings"},
+        std::nullopt});
+    return;
+  }
+  const AttemptNumber number = start.attempt;
+  auto attempt =
+      std::make_shared<UpstreamAttempt>(std::move(start), *this, pool->second);
+  attempts_.emplace(number, attempt);
+  attempt->Start();
+}
+
+void UpstreamServer::Sweep() {
+  const auto now = Clock::now();
+  // An attempt that fails takes itself out of the map.
+  std::vector<std::shared_ptr<UpstreamAttempt>> running;
+  running.reserve(attempts_.size());
+  for (const auto& [number, attempt] : attempts_) {
+    running.push_back(attempt);
+  }
+  for (const auto& attempt : running) {
+    attempt->CheckDeadline(now);
+  }
+  for (auto& [id, pool] : pools_) {
+    pool.Sweep(now);
+  }
+  sweep_timer_.expires_after(
+      std::clamp<Clock::duration>(settings_.limits.silence / kSweepsPerTimeout,
+                                  kShortestSweep, kLongestSweep));
+  sweep_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !stopped_) {
+      Sweep();
+    }
+  });
+}
+
+void UpstreamServer::Stop() {
+  stopped_ = true;
+  sweep_timer_.cancel();
+  const auto running = std::exchange(attempts_, {});
+  for (const auto& [number, attempt] : running) {
+    attempt->Cancel();
+  }
+  pools_.clear();
+}
+
+}  // namespace mimosagauge::detail
