--- a/include/mimosagauge/impl/duties/link_server.h
+++ b/include/mimosagauge/impl/duties/link_server.h
@@ -16,7 +16,6 @@
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/link_client.h"
 #include "mimosagauge/impl/duties/link_connection.h"
 #include "mimosagauge/impl/duties/mailbox.h"
 #include "mimosagauge/impl/settings/settings.h"
@@ -60,10 +59,6 @@
   void Handle(AbortAnswer&& abort);
   void Handle(SendProblem&& answer);
 
-  void set_gossip_handler(GossipHandler handler) {
-    gossip_ = std::move(handler);
-  }
-
   [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
   [[nodiscard]] const LinkServerCounters& counters() const noexcept {
     return counters_;
@@ -135,7 +130,6 @@
   Mailbox<Event>& decisions_;
   LinkTlsContextPtr tls_;
   HelloMessage own_;
-  GossipHandler gossip_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_;
   std::uint16_t port_ = 0;
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -7,16 +7,14 @@
 namespace mimosagauge {
 namespace {
 
+// One a line, so that the parts of the product can add theirs side by side.
+// clang-format off
 constexpr std::array kCatalogue{
     log_events::kStarted,
     log_events::kDraining,
     log_events::kStopped,
     log_events::kDrainTimeout,
     log_events::kUpstreamEjected,
-    log_events::kStarted,
-    log_events::kDraining,
-    log_events::kStopped,
-    log_events::kDrainTimeout,
     log_events::kLinkListening,
     log_events::kLinkUp,
     log_events::kLinkLost,
@@ -32,7 +30,17 @@
     log_events::kBrokenAnswer,
     log_events::kLinkPlain,
     log_events::kLinkAccepted,
+    log_events::kStoreUnreachable,
+    log_events::kStoreReachable,
+    log_events::kWatchSilent,
+    log_events::kOperatorRefused,
+    log_events::kRulesLearned,
+    log_events::kRulesDamaged,
+    log_events::kRulesRemoved,
+    log_events::kRulesOlder,
+    log_events::kRulesAccepted,
 };
+// clang-format on
 
 }  // namespace
 
--- a/src/duties/link_client.cc
+++ b/src/duties/link_client.cc
@@ -476,9 +476,7 @@
 }
 
 void LinkClient::On(Peer& peer, GossipMessage&& gossip) {
-  if (gossip_) {
-    gossip_(peer.settings.id, std::move(gossip));
-  }
+  decisions_.Post(GossipArrived{peer.settings.id, std::move(gossip.data)});
 }
 
 void LinkClient::On(Peer& peer, GoodbyeMessage&& goodbye) {
@@ -506,14 +504,22 @@
        "run the same release on both sides"});
 }
 
-bool LinkClient::SendGossip(const InstanceId& to, const GossipMessage& gossip) {
-  const auto found = peers_.find(to);
-  if (found == peers_.end() || found->second->state != PeerState::kUp) {
-    return false;
+void LinkClient::Handle(SendGossip&& gossip) {
+  const auto found = peers_.find(gossip.to);
+  const bool up =
+      found != peers_.end() && found->second->state == PeerState::kUp;
+  if (up) {
+    LinkConnection& link = *found->second->connection;
+    const bool sent = link.open() && link.queue().size() <= kMaxQueued &&
+                      link.SendControl(GossipMessage{std::move(gossip.bytes)});
+    if (sent) {
+      return;
+    }
+  } else if (found != peers_.end() &&
+             found->second->state == PeerState::kIdle && !stopped_) {
+    Dial(*found->second);
   }
-  LinkConnection& link = *found->second->connection;
-  return link.open() && link.queue().size() <= kMaxQueued &&
-         link.SendControl(gossip);
+  ++counters_.dropped_gossip;
 }
 
 std::uint64_t LinkClient::bytes_written() const noexcept {
