--- a/include/mimosagauge/impl/duties/link_client.h
+++ b/include/mimosagauge/impl/duties/link_client.h
@@ -24,9 +24,10 @@
 
 /// \brief Counts of the dialing side since the start.
 struct LinkClientCounters {
-  std::uint64_t late_frames = 0;     ///< Of cancelled or unknown attempts.
-  std::uint64_t dropped_gossip = 0;  ///< No link, or too much queued on it.
-  std::uint64_t broken_answers = 0;  ///< Gap, repeat, wrong total, overrun.
+  std::uint64_t failed_connections = 0;  ///< Ended before they were up.
+  std::uint64_t late_frames = 0;         ///< Of cancelled or unknown attempts.
+  std::uint64_t dropped_gossip = 0;      ///< No link, or too much queued on it.
+  std::uint64_t broken_answers = 0;      ///< Gap, repeat, wrong total, overrun.
 };
 
 /// \brief Keeps one link to each other instance it has to do with.
--- a/src/duties/link_client.cc
+++ b/src/duties/link_client.cc
@@ -220,6 +220,7 @@
   peer.state = PeerState::kBackoff;
   FailWaiting(peer, error);
   ++peer.failures;
+  ++counters_.failed_connections;
   BackOff(peer);
 }
 
@@ -380,12 +381,13 @@
 void LinkClient::BreakAnswer(Peer& peer, AttemptNumber attempt,
                              const char* what) {
   ++counters_.broken_answers;
+  const bool answered = peer.attempts.at(attempt).answered;
   const Error error = BrokenAnswer(what);
   Log(log_events::kBrokenAnswer,
       {{"peer", peer.settings.id.value()}, {"error", ToString(error)}});
   Forget(peer, attempt);
   peer.connection->SendControl(CancelMessage{StreamOf(attempt)});
-  Fail(attempt, RunState::kUnknown, error);
+  Fail(attempt, answered ? RunState::kRan : RunState::kUnknown, error);
 }
 
 LinkClient::Attempt* LinkClient::Find(Peer& peer, StreamNumber stream) {
