--- a/include/mimosagauge/impl/duties/link_duty.h
+++ b/include/mimosagauge/impl/duties/link_duty.h
@@ -49,17 +49,6 @@
   /// \brief Makes another instance known; it is dialled when needed.
   void Learn(const PeerSettings& peer) { client_.Learn(peer); }
 
-  /// \brief Sets what takes messages of control state machines; before
-  /// `Start`.
-  void set_gossip_handler(const GossipHandler& handler);
-
-  /// \brief Sends a message of a control state machine.
-  /// \returns Whether the link is up and took it; delivery is not promised.
-  [[nodiscard]] bool SendGossip(const InstanceId& to,
-                                const GossipMessage& gossip) {
-    return client_.SendGossip(to, gossip);
-  }
-
   /// \returns The port listened on, once started.
   [[nodiscard]] std::uint16_t port() const noexcept { return server_.port(); }
 
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -14,6 +14,7 @@
     log_events::kDraining,
     log_events::kStopped,
     log_events::kDrainTimeout,
+    log_events::kUpstreamEjected,
     log_events::kLinkListening,
     log_events::kLinkUp,
     log_events::kLinkLost,
--- a/src/duties/link_server.cc
+++ b/src/duties/link_server.cc
@@ -429,9 +429,8 @@
 }
 
 void LinkServer::On(const LinkPtr& link, GossipMessage&& gossip) {
-  if (gossip_) {
-    gossip_(link->connection->peer(), std::move(gossip));
-  }
+  decisions_.Post(
+      GossipArrived{link->connection->peer(), std::move(gossip.data)});
 }
 
 void LinkServer::On(const LinkPtr& link, GoodbyeMessage&& goodbye) {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -175,9 +175,8 @@
     return FrameType::kProblem;
   }
   FrameType operator()(const GossipMessage& gossip) const {
-    const auto topic = Text(builder, gossip.topic);
     const auto data = Data(builder, gossip.data);
-    builder.Finish(wire::CreateGossip(builder, topic, data));
+    builder.Finish(wire::CreateGossip(builder, data));
     return FrameType::kGossip;
   }
   FrameType operator()(const GoodbyeMessage& goodbye) const {
@@ -335,7 +334,7 @@
 }
 
 [[nodiscard]] Message Decode(const wire::Gossip& table) {
-  return GossipMessage{Text(table.topic()), Data(*table.data())};
+  return GossipMessage{Data(*table.data())};
 }
 
 [[nodiscard]] Message Decode(const wire::Goodbye& table) {
