--- a/src/decisions/once_claim_committer.cc
+++ b/src/decisions/once_claim_committer.cc
@@ -1,10 +1,10 @@
 // Group commit of claims by compare-and-swap.
 
 #include <algorithm>
-#include <string>
 #include <utility>
 
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
+#include "mimosagauge/impl/decisions/rendezvous.h"
 
 namespace mimosagauge {
 namespace {
@@ -218,26 +218,6 @@
   return std::visit([](const auto& kind) { return kind.call; }, event);
 }
 
-std::uint64_t Mix(std::uint64_t hash, unsigned char byte) noexcept {
-  constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
-  return (hash ^ byte) * kFnvPrime;
-}
-
-// The same on every instance and in every version.
-std::uint64_t Weight(SlotNumber slot, const InstanceId& instance) noexcept {
-  constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
-  std::uint64_t hash = kFnvOffset;
-  for (const char c : instance.value()) {
-    hash = Mix(hash, static_cast<unsigned char>(c));
-  }
-  hash = Mix(hash, static_cast<unsigned char>(slot.value()));
-  // FNV leaves its high bits poorly mixed for short input.
-  hash ^= hash >> 33U;
-  hash *= 0xff51afd7ed558ccdULL;
-  hash ^= hash >> 33U;
-  return hash;
-}
-
 }  // namespace
 
 std::size_t BindingCount(const SlotValue& value) noexcept {
@@ -295,17 +275,7 @@
 }
 
 InstanceId CommitterOf(SlotNumber slot, std::span<const InstanceId> live) {
-  const InstanceId* best = nullptr;
-  std::uint64_t best_weight = 0;
-  for (const InstanceId& instance : live) {
-    const std::uint64_t weight = Weight(slot, instance);
-    if (best == nullptr || weight > best_weight ||
-        (weight == best_weight && instance < *best)) {
-      best = &instance;
-      best_weight = weight;
-    }
-  }
-  return best == nullptr ? InstanceId{} : *best;
+  return Rendezvous(slot.value(), live);
 }
 
 }  // namespace mimosagauge
--- /dev/null
+++ b/src/decisions/rendezvous.cc
@@ -0,0 +1,50 @@
+// Highest random weight over FNV-1a with a final mix.
+
+#include "mimosagauge/impl/decisions/rendezvous.h"
+
+namespace mimosagauge {
+namespace {
+
+constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
+constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
+constexpr unsigned kByteBits = 8;
+
+std::uint64_t MixByte(std::uint64_t hash, std::uint64_t byte) noexcept {
+  constexpr std::uint64_t kByteMask = 0xff;
+  return (hash ^ (byte & kByteMask)) * kFnvPrime;
+}
+
+std::uint64_t Weight(std::uint64_t subject,
+                     const InstanceId& instance) noexcept {
+  std::uint64_t hash = kFnvOffset;
+  for (const char c : instance.value()) {
+    hash = MixByte(hash, static_cast<unsigned char>(c));
+  }
+  for (unsigned i = 0; i < sizeof(subject); ++i) {
+    hash = MixByte(hash, subject >> (i * kByteBits));
+  }
+  // FNV leaves its high bits poorly mixed for short input.
+  hash ^= hash >> 33U;
+  hash *= 0xff51afd7ed558ccdULL;
+  hash ^= hash >> 33U;
+  return hash;
+}
+
+}  // namespace
+
+InstanceId Rendezvous(std::uint64_t subject,
+                      std::span<const InstanceId> candidates) {
+  const InstanceId* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const InstanceId& instance : candidates) {
+    const std::uint64_t weight = Weight(subject, instance);
+    if (best == nullptr || weight > best_weight ||
+        (weight == best_weight && instance < *best)) {
+      best = &instance;
+      best_weight = weight;
+    }
+  }
+  return best == nullptr ? InstanceId{} : *best;
+}
+
+}  // namespace mimosagauge
