--- a/include/mimosagauge/impl/core/strong_id.h
+++ b/include/mimosagauge/impl/core/strong_id.h
@@ -32,9 +32,11 @@
 
   [[nodiscard]] friend bool operator==(const StrongName&,
                                        const StrongName&) = default;
-  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the operator for a 0.
+  // The check takes the operator for a comparison with 0.
+  // NOLINTBEGIN(modernize-use-nullptr)
   [[nodiscard]] friend auto operator<=>(const StrongName&,
                                         const StrongName&) = default;
+  // NOLINTEND(modernize-use-nullptr)
 
  private:
   std::string value_;
--- a/tests/unit/queries_exit_codes_test.cc
+++ b/tests/unit/queries_exit_codes_test.cc
@@ -14,6 +14,7 @@
 [[nodiscard]] int Run(std::vector<std::string> words) {
   words.insert(words.begin(), "mimosagauge");
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (std::string& word : words) {
     argv.push_back(word.data());
   }
--- a/tests/unit/rules_faults_test.cc
+++ b/tests/unit/rules_faults_test.cc
@@ -80,6 +80,7 @@
   static_cast<void>(
       ParseRules("retry maybe colour=red\nallow\npriority 1 # A\n", faults));
   std::vector<std::uint32_t> lines;
+  lines.reserve(faults.size());
   for (const RuleFault& fault : faults) {
     lines.push_back(fault.line);
   }
