--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -78,6 +78,13 @@
   bool up = false;
 };
 
+/// \brief Control state of another instance came over a link.
+struct GossipArrived {
+  InstanceId from;
+  std::string topic;  ///< Names the state machine it is for.
+  std::string data;   ///< Opaque to the link duty.
+};
+
 /// \brief The instance has been told to stop gracefully.
 struct DrainRequested {};
 
@@ -87,7 +94,7 @@
 using Event =
     std::variant<RequestArrived, RequestAbandoned, AnswerTaken, AttemptAnswered,
                  AttemptBody, AttemptEnded, AttemptFailed, RulesArrived,
-                 LinkChanged, DrainRequested, Tick>;
+                 LinkChanged, GossipArrived, DrainRequested, Tick>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/request.h
+++ b/include/mimosagauge/impl/decisions/request.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/run_state.h"
 #include "mimosagauge/impl/core/time.h"
+#include "mimosagauge/impl/rules/verdict.h"
 
 namespace mimosagauge {
 
@@ -46,6 +47,8 @@
   ServiceId service;      ///< From the path; empty for models.
   ModelId model;          ///< Empty for plain services.
   std::string method;
+  std::string caller_path;      ///< As the caller gave it, without query; the
+                                ///< rules match on it.
   std::string target;           ///< For the upstream, with query.
   std::vector<Header> headers;  ///< End-to-end fields only.
   std::optional<IdempotencyKey> key;
@@ -56,6 +59,9 @@
   bool stream = false;      ///< The caller asked for server-sent events.
 };
 
+/// \returns What the rules match on.
+[[nodiscard]] RequestTraits TraitsOf(const RequestHead& head);
+
 using RequestHeadPtr = std::shared_ptr<const RequestHead>;
 using BodyPtr = std::shared_ptr<const std::string>;
 
