--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -47,15 +47,6 @@
     log_events::kRulesRemoved,
     log_events::kRulesOlder,
     log_events::kRulesAccepted,
-    log_events::kListening,
-    log_events::kRequestRefused,
-    log_events::kCallerLeft,
-    log_events::kCallerStalled,
-    log_events::kAnswerBrokenOff,
-    log_events::kAcceptFailed,
-    log_events::kFileLimit,
-    log_events::kAttemptFailed,
-    log_events::kUpstreamEjected,
 };
 // clang-format on
 
