Faults in a list name the right line after an entry that is no section

Cause: such an entry was left out, so that the entries after it were taken for the ones before (seen: accounts[1] on line 17 was named accounts[0], line 16). Change: it keeps its place as a section without values. The new row of tests/unit/settings_faults_test.cc fails before, passes after.

--- a/include/mimosagauge/impl/settings/section.h
+++ b/include/mimosagauge/impl/settings/section.h
@@ -55,8 +55,8 @@
                                                  const std::string& key);
 
 /// \brief Opens a list of sections.
-/// \returns A section for each entry that is a map; an entry that is none is a
-/// fault.
+/// \returns A section for each entry; one that is no map is a fault and gives
+/// a section without values.
 [[nodiscard]] std::vector<Section> OpenSections(Section& parent,
                                                 const std::string& key);
 
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -151,8 +151,6 @@
   return objective;
 }
 
-/// Entries that are no sections keep their place, so that the faults found
-/// later name the right line.
 template <typename T, typename ReadEntry>
 void ReadList(Section& parent, const std::string& key, std::vector<T>& values,
               ReadEntry read_entry) {
--- a/src/settings/section.cc
+++ b/src/settings/section.cc
@@ -158,6 +158,8 @@
     if (!node.IsMap()) {
       AddFault(parent.report, path, fmt::format("'{}' is not a section", path),
                "write the keys of the entry, each with its value");
+      // It keeps its place, so that later faults name the right line.
+      sections.push_back({parent.report, path + ".", "", {}});
       continue;
     }
     sections.push_back(
