--- a/include/mimosagauge/impl/platform/rules_change.h
+++ b/include/mimosagauge/impl/platform/rules_change.h
@@ -21,8 +21,9 @@
 /// \brief Puts a whole text in place of the rules.
 struct ReplaceRules {
   std::string text;
-  std::optional<Revision> base;  ///< Revision that the text was made from.
-  bool overwrite = false;        ///< Whatever others changed since is lost.
+  std::optional<Revision> base =
+      std::nullopt;        ///< Revision that the text was made from.
+  bool overwrite = false;  ///< Whatever others changed since is lost.
 };
 /// \brief Adds one line, at the end or before all others.
 struct AddRule {
