--- a/src/duties/link_client.cc
+++ b/src/duties/link_client.cc
@@ -220,6 +220,7 @@
   peer.state = PeerState::kBackoff;
   FailWaiting(peer, error);
   ++peer.failures;
+  ++counters_.failed_connections;
   BackOff(peer);
 }
 
@@ -380,12 +381,13 @@
 void LinkClient::BreakAnswer(Peer& peer, AttemptNumber attempt,
                              const char* what) {
   ++counters_.broken_answers;
+  const bool answered = peer.attempts.at(attempt).answered;
   const Error error = BrokenAnswer(what);
   Log(log_events::kBrokenAnswer,
       {{"peer", peer.settings.id.value()}, {"error", ToString(error)}});
   Forget(peer, attempt);
   peer.connection->SendControl(CancelMessage{StreamOf(attempt)});
-  Fail(attempt, RunState::kUnknown, error);
+  Fail(attempt, answered ? RunState::kRan : RunState::kUnknown, error);
 }
 
 LinkClient::Attempt* LinkClient::Find(Peer& peer, StreamNumber stream) {
@@ -476,9 +478,7 @@
 }
 
 void LinkClient::On(Peer& peer, GossipMessage&& gossip) {
-  if (gossip_) {
-    gossip_(peer.settings.id, std::move(gossip));
-  }
+  decisions_.Post(GossipArrived{peer.settings.id, std::move(gossip.data)});
 }
 
 void LinkClient::On(Peer& peer, GoodbyeMessage&& goodbye) {
@@ -506,14 +506,22 @@
        "run the same release on both sides"});
 }
 
-bool LinkClient::SendGossip(const InstanceId& to, const GossipMessage& gossip) {
-  const auto found = peers_.find(to);
-  if (found == peers_.end() || found->second->state != PeerState::kUp) {
-    return false;
+void LinkClient::Handle(SendGossip&& gossip) {
+  const auto found = peers_.find(gossip.to);
+  const bool up =
+      found != peers_.end() && found->second->state == PeerState::kUp;
+  if (up) {
+    LinkConnection& link = *found->second->connection;
+    const bool sent = link.open() && link.queue().size() <= kMaxQueued &&
+                      link.SendControl(GossipMessage{std::move(gossip.bytes)});
+    if (sent) {
+      return;
+    }
+  } else if (found != peers_.end() &&
+             found->second->state == PeerState::kIdle && !stopped_) {
+    Dial(*found->second);
   }
-  LinkConnection& link = *found->second->connection;
-  return link.open() && link.queue().size() <= kMaxQueued &&
-         link.SendControl(gossip);
+  ++counters_.dropped_gossip;
 }
 
 std::uint64_t LinkClient::bytes_written() const noexcept {
--- a/src/duties/link_duty.cc
+++ b/src/duties/link_duty.cc
@@ -41,9 +41,10 @@
 }
 
 template <typename Effect>
-constexpr bool kForClient = std::is_same_v<Effect, StartLinkAttempt> ||
-                            std::is_same_v<Effect, CancelAttempt> ||
-                            std::is_same_v<Effect, CreditAttempt>;
+constexpr bool kForClient =
+    std::is_same_v<Effect, StartLinkAttempt> ||
+    std::is_same_v<Effect, CancelAttempt> ||
+    std::is_same_v<Effect, CreditAttempt> || std::is_same_v<Effect, SendGossip>;
 
 }  // namespace
 
@@ -108,9 +109,4 @@
       std::move(effect));
 }
 
-void LinkDuty::set_gossip_handler(const GossipHandler& handler) {
-  client_.set_gossip_handler(handler);
-  server_.set_gossip_handler(handler);
-}
-
 }  // namespace mimosagauge
