--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -87,8 +87,7 @@
 /// \brief Send control state to another instance; may be lost.
 struct SendGossip {
   InstanceId to;
-  std::string topic;
-  std::string data;
+  std::string bytes;
 };
 
 /// \brief Show this from now on.
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -81,8 +81,7 @@
 /// \brief Control state of another instance came over a link.
 struct GossipArrived {
   InstanceId from;
-  std::string topic;  ///< Names the state machine it is for.
-  std::string data;   ///< Opaque to the link duty.
+  std::string bytes;  ///< Opaque to the link duty.
 };
 
 /// \brief The instance has been told to stop gracefully.
--- a/src/duties/link_duty.cc
+++ b/src/duties/link_duty.cc
@@ -53,13 +53,7 @@
     : settings_(settings),
       timings_(timings),
       client_(io, settings, timings, decisions),
-      server_(io, settings, timings, decisions) {
-  set_gossip_handler(
-      [&decisions](const InstanceId& from, GossipMessage&& gossip) {
-        decisions.Post(GossipArrived{from, std::move(gossip.topic),
-                                     std::move(gossip.data)});
-      });
-}
+      server_(io, settings, timings, decisions) {}
 
 Result<LinkTlsContextPtr> LinkDuty::MakeTls() const {
   if (settings_.link_tls) {
@@ -97,10 +91,7 @@
   std::visit(
       [this](auto&& one) {
         using One = std::decay_t<decltype(one)>;
-        if constexpr (std::is_same_v<One, ::mimosagauge::SendGossip>) {
-          // What is not sent now is told again by the state machine itself.
-          (void)SendGossip(one.to, {std::move(one.topic), std::move(one.data)});
-        } else if constexpr (kForClient<One>) {
+        if constexpr (kForClient<One>) {
           client_.Handle(std::forward<decltype(one)>(one));
         } else {
           server_.Handle(std::forward<decltype(one)>(one));
