Keyed requests run at most once in the running instance

Cause: the key table, tickets and claims stood beside the gateway and no request went through them. Change: a non-idempotent request with a key is owned before it is placed: under a ticket by the process that wrote it, bare by the process that the store names; others ask the owner over a link or answer unknown. The entry document gives out tickets. A keyed run goes on when its caller leaves, so that a resend gets the answer.

--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -11,6 +11,8 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/time.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/once/fingerprint.h"
+#include "mimosagauge/impl/decisions/once/key_owner.h"
 
 namespace mimosagauge {
 
@@ -53,6 +55,10 @@
   Endpoint entry;
   std::vector<UpstreamConfig> upstreams;
   std::vector<PeerConfig> peers;
+  KeyOwner self;  ///< This start of the instance.
+  /// Tell keys under tickets; the first signs. Empty: no tickets.
+  std::vector<Authenticator> ticket_secrets;
+  HashFunction hash;  ///< Never empty where keyed requests come in.
   GatewayLimits limits;
 };
 
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -95,6 +95,9 @@
   InstanceViewPtr view;  ///< Never null.
 };
 
+/// For the duty that talks to the key-value service.
+using ClaimStoreEffect = std::variant<LoadSlot, CommitClaims>;
+
 /// For the duty that talks to upstreams.
 using UpstreamEffect =
     std::variant<StartUpstreamAttempt, CancelAttempt, CreditAttempt>;
@@ -131,11 +134,14 @@
   bool in_time = true;  ///< Nothing had to be cut off.
 };
 
+struct ForPlatform {
+  ClaimStoreEffect effect;
+};
 struct ForOperators {
   PublishView effect;
 };
-using Effect = std::variant<ForUpstreams, ForCallers, ForLinks, ForOperators,
-                            WriteLog, StopAccepting, Finished>;
+using Effect = std::variant<ForUpstreams, ForCallers, ForLinks, ForPlatform,
+                            ForOperators, WriteLog, StopAccepting, Finished>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/request.h"
 #include "mimosagauge/impl/rules/rule_set.h"
 
@@ -84,6 +85,11 @@
   std::string bytes;  ///< Opaque to the link duty.
 };
 
+/// \brief The store has answered, or failed to answer, a call about claims.
+struct ClaimStoreAnswered {
+  StoreEvent answer;
+};
+
 /// \brief The instance has been told to stop gracefully.
 struct DrainRequested {};
 
@@ -93,7 +99,8 @@
 using Event =
     std::variant<RequestArrived, RequestAbandoned, AnswerTaken, AttemptAnswered,
                  AttemptBody, AttemptEnded, AttemptFailed, RulesArrived,
-                 LinkChanged, GossipArrived, DrainRequested, Tick>;
+                 LinkChanged, GossipArrived, ClaimStoreAnswered, DrainRequested,
+                 Tick>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -19,6 +19,8 @@
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
 #include "mimosagauge/impl/decisions/gateway_metrics.h"
+#include "mimosagauge/impl/decisions/once/claim_committer.h"
+#include "mimosagauge/impl/decisions/once/key_table.h"
 #include "mimosagauge/impl/decisions/outcome.h"
 #include "mimosagauge/impl/decisions/retry_budget.h"
 #include "mimosagauge/impl/decisions/upstream_table.h"
@@ -32,6 +34,15 @@
   std::variant<UpstreamId, InstanceId> target;
 };
 
+/// \brief What a request under an idempotency key has to do with its key.
+struct KeyedState {
+  KeyFingerprint key;
+  bool runs = false;       ///< This request is the one that runs the key.
+  bool forwarded = false;  ///< The key's owner has been asked.
+  /// The answer so far, kept for resends; null: not kept.
+  std::shared_ptr<RecordedAnswer> recording;
+};
+
 /// \brief A request in progress.
 struct RequestRecord {
   RequestArrived arrival;
@@ -46,7 +57,10 @@
   bool resuming = false;  ///< The attempt continues an answer begun before.
   std::optional<std::string> last_event_id;  ///< Passed on to the caller.
   bool resumable = false;                    ///< The answer is a stream.
-  Bytes untaken;             ///< Sent to the other side and not taken yet.
+  Bytes untaken;  ///< Sent to the other side and not taken yet.
+  std::optional<KeyedState> keyed;  ///< Set for non-idempotent keyed requests.
+  bool whole = false;               ///< The answer came to its proper end.
+  bool detached = false;     ///< Its other side is gone; the run goes on.
   std::string last_failure;  ///< Why the last attempt came to nothing.
 };
 
@@ -70,6 +84,8 @@
   std::unordered_map<AttemptNumber, RequestNumber> attempts;
   std::set<std::pair<TimePoint, RequestNumber>> deadlines;
   WaitingQueue waiting;
+  KeyTable keys;
+  ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
   AttemptNumber last_attempt;
   std::optional<TimePoint> drain_began;
@@ -80,8 +96,10 @@
   std::mt19937_64 random;
 };
 
+/// \param now The start, from which tickets count.
 /// \param seed For everything that is drawn at random.
-[[nodiscard]] Gateway MakeGateway(GatewayConfig config, std::uint64_t seed);
+[[nodiscard]] Gateway MakeGateway(GatewayConfig config, TimePoint now,
+                                  std::uint64_t seed);
 
 /// \brief Learns one event.
 /// \param now Never earlier than in the call before.
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -29,6 +29,9 @@
 /// \brief Sends part of an answer by the duty that the request came in by.
 template <typename AnswerPart>
 void Answer(Turn& turn, const RequestRecord& record, AnswerPart part) {
+  if (record.detached) {
+    return;
+  }
   part.number = record.arrival.number;
   if (record.arrival.origin == Origin::kCaller) {
     turn.effects.emplace_back(ForCallers{std::move(part)});
@@ -53,6 +56,24 @@
 /// waiting queue; else refuses it.
 void Place(Turn& turn, RequestNumber number);
 
+/// \brief Finds out who may run a keyed request, and does what that says.
+void AdmitKeyed(Turn& turn, RequestNumber number);
+
+/// \brief Tells the key table how the run of a keyed request ended; other
+/// requests that waited for it are answered.
+void SettleKey(Turn& turn, RequestRecord& record);
+
+/// \brief Carries out what the key table says.
+void Apply(Turn& turn, KeyEffects&& effects);
+/// \brief Carries out what the claim committer says.
+void Apply(Turn& turn, ClaimEffects&& effects);
+
+/// \brief Gives a request to one instance, and to no other place.
+void StartOnInstance(Turn& turn, RequestRecord& record, const PeerConfig& peer);
+
+/// \brief Lets the running attempt send more.
+void GiveCredit(Turn& turn, const RequestRecord& record, Bytes bytes);
+
 /// \brief Tries the first requests in line again.
 void Dispatch(Turn& turn);
 
@@ -63,6 +84,7 @@
 void Handle(Turn& turn, RulesArrived&& event);
 void Handle(Turn& turn, LinkChanged&& event);
 void Handle(Turn& turn, GossipArrived&& event);
+void Handle(Turn& turn, ClaimStoreAnswered&& event);
 void Handle(Turn& turn, DrainRequested&& event);
 void Handle(Turn& turn, Tick&& event);
 void Handle(Turn& turn, AttemptAnswered&& event);
--- a/include/mimosagauge/impl/decisions/view.h
+++ b/include/mimosagauge/impl/decisions/view.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/endpoint.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/time.h"
+#include "mimosagauge/impl/decisions/once/ticket.h"
 #include "mimosagauge/impl/rules/rule_set.h"
 
 namespace mimosagauge {
@@ -47,7 +48,10 @@
   bool ready = false;
   bool draining = false;
   std::shared_ptr<const RuleSet> rules;  ///< Null: none known yet.
-  std::vector<EntryInstance> entries;    ///< This instance's preference.
+  /// Ticket for keys that this instance is to own; none without a secret or
+  /// while it is leaving.
+  std::optional<Ticket> ticket;
+  std::vector<EntryInstance> entries;  ///< This instance's preference.
   Duration entries_good_for{};
   std::vector<UpstreamView> upstreams;
   std::vector<InstanceRevisionView> revisions;  ///< Of the other instances.
--- a/include/mimosagauge/impl/duties/caller_connection.h
+++ b/include/mimosagauge/impl/duties/caller_connection.h
@@ -79,7 +79,7 @@
   void RefuseAndClose(const Problem& problem);
   void Dispatch();
   void Submit(UpstreamRequest request, std::string body);
-  void AnswerOwn(OwnResource resource);
+  void AnswerOwn(const OwnRequest& request);
 
   // Writing.
   void SendWhole(std::uint16_t status, std::vector<Header> headers,
--- a/include/mimosagauge/impl/duties/caller_request.h
+++ b/include/mimosagauge/impl/duties/caller_request.h
@@ -20,6 +20,7 @@
 /// \brief A request for the instance itself.
 struct OwnRequest {
   OwnResource resource = OwnResource::kHealth;
+  AccountId account;  ///< Only of a question for the instances to use.
 };
 
 /// \brief A request for an upstream, its body still to come.
--- a/include/mimosagauge/impl/duties/caller_server.h
+++ b/include/mimosagauge/impl/duties/caller_server.h
@@ -17,6 +17,7 @@
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
+#include "mimosagauge/impl/decisions/once/fingerprint.h"
 #include "mimosagauge/impl/duties/account_book.h"
 #include "mimosagauge/impl/duties/body_budget.h"
 #include "mimosagauge/impl/duties/mailbox.h"
@@ -43,6 +44,11 @@
   [[nodiscard]] const AccountBook& accounts() const noexcept {
     return accounts_;
   }
+  /// \returns What signs tickets; empty: no tickets.
+  [[nodiscard]] const std::vector<Authenticator>& ticket_secrets()
+      const noexcept {
+    return ticket_secrets_;
+  }
   [[nodiscard]] const InstanceView& view() const noexcept { return *view_; }
   [[nodiscard]] bool accepting() const noexcept { return accepting_; }
 
@@ -79,6 +85,7 @@
   const Settings& settings_;
   Mailbox<Event>& decisions_;
   AccountBook accounts_;
+  std::vector<Authenticator> ticket_secrets_;
   std::shared_ptr<BodyBudget> bodies_;
   InstanceViewPtr view_;  // Never null.
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/include/mimosagauge/impl/duties/decisions_duty.h
+++ b/include/mimosagauge/impl/duties/decisions_duty.h
@@ -17,6 +17,7 @@
   Mailbox<CallerEffect>& callers;
   Mailbox<UpstreamEffect>& upstreams;
   Mailbox<LinkEffect>& links;
+  Mailbox<ClaimStoreEffect>& platform;
   Mailbox<PublishView>& operators;
   std::function<void()> stop_accepting;        ///< Any thread.
   std::function<void(bool in_time)> finished;  ///< Any thread.
@@ -40,6 +41,7 @@
   void Carry(ForCallers&& effect);
   void Carry(ForUpstreams&& effect);
   void Carry(ForLinks&& effect);
+  void Carry(ForPlatform&& effect);
   void Carry(ForOperators&& effect);
   void Carry(WriteLog&& effect);
   void Carry(StopAccepting&& effect);
--- a/include/mimosagauge/impl/duties/entry_document.h
+++ b/include/mimosagauge/impl/duties/entry_document.h
@@ -5,8 +5,10 @@
 #define MIMOSAGAUGE_IMPL_DUTIES_ENTRY_DOCUMENT_H_
 
 #include <cstdint>
+#include <span>
 #include <string>
 
+#include "mimosagauge/impl/decisions/once/fingerprint.h"
 #include "mimosagauge/impl/decisions/view.h"
 #include "mimosagauge/impl/duties/caller_request.h"
 
@@ -20,13 +22,17 @@
 };
 
 /// \returns The answer for a resource from the newest view.
-[[nodiscard]] OwnAnswer AnswerFor(OwnResource resource,
-                                  const InstanceView& view);
+/// \param secrets Sign the ticket of the account; empty: no tickets.
+[[nodiscard]] OwnAnswer AnswerFor(const OwnRequest& request,
+                                  const InstanceView& view,
+                                  std::span<const Authenticator> secrets);
 
 /// \returns The instances to use, in JSON: `entries` in order of preference,
 /// each with `address`, `instance`, `region` and `availability_zone`, and
-/// `good_for_ms`.
-[[nodiscard]] std::string FormatEntries(const InstanceView& view);
+/// `good_for_ms`; `ticket`, the prefix of idempotency keys that this instance
+/// is to run, where there is one.
+[[nodiscard]] std::string FormatEntries(const InstanceView& view,
+                                        const std::string& ticket);
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/duties/monotonic_clock.h
+++ b/include/mimosagauge/impl/duties/monotonic_clock.h
@@ -3,6 +3,8 @@
 #ifndef MIMOSAGAUGE_IMPL_DUTIES_MONOTONIC_CLOCK_H_
 #define MIMOSAGAUGE_IMPL_DUTIES_MONOTONIC_CLOCK_H_
 
+#include <time.h>
+
 #include <chrono>
 
 #include "mimosagauge/impl/core/time.h"
@@ -11,8 +13,11 @@
 
 /// \returns The present on this process's monotonic time line.
 [[nodiscard]] inline TimePoint MonotonicNow() noexcept {
-  const auto since_epoch = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint{std::chrono::duration_cast<Duration>(since_epoch)};
+  timespec reading{};
+  // Unlike CLOCK_MONOTONIC it goes on while the machine is suspended.
+  clock_gettime(CLOCK_BOOTTIME, &reading);
+  return TimePoint{std::chrono::seconds(reading.tv_sec) +
+                   std::chrono::nanoseconds(reading.tv_nsec)};
 }
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/duties/platform_duty.h
+++ b/include/mimosagauge/impl/duties/platform_duty.h
@@ -57,6 +57,8 @@
   void Stop();
   /// \brief Carries out an edit.
   void Handle(ChangeRules&& command);
+  /// \brief Reads or writes claims; answered by one `ClaimStoreAnswered`.
+  void Handle(ClaimStoreEffect&& effect);
 
  private:
   void Read();
@@ -70,6 +72,9 @@
   void Adopt(Revision revision, const std::string& text);
   void NoteRemoved();
   void NoteStore(bool reachable, const std::string& detail);
+  void Load(const LoadSlot& load);
+  void Commit(const CommitClaims& commit);
+  void AnswerClaims(StoreEvent answer);
   void BeginEdit();
   void EndEdit(std::uint64_t number, RulesOutcome&& outcome);
 
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -117,6 +117,9 @@
   Endpoint peer;       ///< Listens here for other instances.
   Endpoint operators;  ///< Listens here for operators.
   std::string operator_token;
+  /// Shared by all instances; signs the tickets of idempotency keys. Empty: no
+  /// tickets.
+  std::string ticket_secret;
   std::vector<Endpoint> store;  ///< The platform's key-value service.
   std::string store_prefix = "/mimosagauge/";
   std::vector<Endpoint> instance_list;  ///< The platform's; may be empty.
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -41,6 +41,10 @@
   ServiceMetrics& metrics = MetricsOf(turn.gateway, record);
   ++metrics.requests;
   ++metrics.refused[problem.type];
+  // Another instance may have run the key.
+  if (arrival.head->key) {
+    problem.run = Join(problem.run, RunState::kUnknown);
+  }
   Answer(turn, record, SendProblem{{}, std::move(problem)});
 }
 
@@ -82,6 +86,7 @@
   const Duration draining = turn.now - *gateway.drain_began;
   if (!gateway.refusing && draining >= gateway.config.limits.leave_notice) {
     gateway.refusing = true;
+    Apply(turn, SealKeys(gateway.keys, turn.now));
     turn.effects.emplace_back(StopAccepting{});
   }
   if (!gateway.refusing) {
@@ -174,11 +179,28 @@
   ++MetricsOf(gateway, record).requests;
   Earn(gateway.budgets[record.verdict.service]);
   gateway.deadlines.emplace(record.due, number);
+  const bool keyed =
+      record.arrival.head->key.has_value() && !record.verdict.idempotent;
   gateway.requests.emplace(number, std::move(record));
-  Place(turn, number);
+  keyed ? AdmitKeyed(turn, number) : Place(turn, number);
 }
 
-void Handle(Turn& turn, RequestAbandoned&& event) { Close(turn, event.number); }
+void Handle(Turn& turn, RequestAbandoned&& event) {
+  RequestRecord* record = FindRequest(turn.gateway, event.number);
+  if (record == nullptr) {
+    return;
+  }
+  if (!record->keyed) {
+    return Close(turn, event.number);
+  }
+  record->detached = true;
+  if (!record->keyed->runs || !record->running) {
+    return Refuse(turn, *record, Stopping(record->outcome.run));
+  }
+  // The run goes on, so that a resend gets its answer.
+  GiveCredit(turn, *record, record->untaken);
+  record->untaken = Bytes{};
+}
 
 void Handle(Turn& turn, AnswerTaken&& event) {
   RequestRecord* record = FindRequest(turn.gateway, event.number);
@@ -186,15 +208,7 @@
     return;
   }
   record->untaken -= event.bytes;
-  if (!record->running) {
-    return;
-  }
-  const CreditAttempt credit{record->running->number, event.bytes};
-  if (std::holds_alternative<UpstreamId>(record->running->target)) {
-    turn.effects.emplace_back(ForUpstreams{credit});
-  } else {
-    turn.effects.emplace_back(ForLinks{credit});
-  }
+  GiveCredit(turn, *record, event.bytes);
 }
 
 void Handle(Turn& turn, RulesArrived&& event) {
@@ -228,7 +242,14 @@
   turn.effects.emplace_back(WriteLog{log_events::kDraining, {}});
 }
 
-void Handle(Turn&, Tick&&) {}
+void Handle(Turn& turn, ClaimStoreAnswered&& event) {
+  Apply(turn, LearnFromStore(turn.gateway.claims, turn.now, event.answer));
+}
+
+void Handle(Turn& turn, Tick&&) {
+  Apply(turn, ForgetKeys(turn.gateway.keys, turn.now));
+  Apply(turn, TickClaims(turn.gateway.claims, turn.now));
+}
 
 ServiceMetrics& MetricsOf(Gateway& gateway, const RequestRecord& record) {
   const ServiceId& service = record.verdict.service;
@@ -281,6 +302,10 @@
   if (!Advance(record.outcome, AnswerPhase::kClosed)) {
     return;
   }
+  // Before the owner of its key was asked nobody knows whether it has run.
+  if (record.keyed && !record.keyed->runs && !record.keyed->forwarded) {
+    Learn(record.outcome, RunState::kUnknown);
+  }
   problem.run = record.outcome.run;
   ServiceMetrics& metrics = MetricsOf(turn.gateway, record);
   if (begun) {
@@ -290,13 +315,28 @@
     ++metrics.refused[problem.type];
     Answer(turn, record, SendProblem{{}, std::move(problem)});
   }
-  Close(turn, record.arrival.number);
+  const RequestNumber number = record.arrival.number;
+  SettleKey(turn, record);
+  Close(turn, number);
+}
+
+void GiveCredit(Turn& turn, const RequestRecord& record, Bytes bytes) {
+  if (!record.running || bytes == Bytes{}) {
+    return;
+  }
+  const CreditAttempt credit{record.running->number, bytes};
+  if (std::holds_alternative<UpstreamId>(record.running->target)) {
+    turn.effects.emplace_back(ForUpstreams{credit});
+  } else {
+    turn.effects.emplace_back(ForLinks{credit});
+  }
 }
 
 }  // namespace detail
 
-Gateway MakeGateway(GatewayConfig config, std::uint64_t seed) {
+Gateway MakeGateway(GatewayConfig config, TimePoint now, std::uint64_t seed) {
   Gateway gateway;
+  gateway.keys = MakeKeyTable(config.self, now);
   gateway.upstreams = MakeUpstreamTable(config.upstreams);
   for (const PeerConfig& peer : config.peers) {
     gateway.peers.push_back({peer, false, false});
@@ -324,6 +364,9 @@
   view.draining = gateway.drain_began.has_value();
   view.ready = gateway.rules != nullptr && !view.draining;
   view.rules = gateway.rules;
+  if (!gateway.config.ticket_secrets.empty() && !view.draining) {
+    view.ticket = NextTicket(gateway.keys, now);
+  }
   view.entries = detail::Entries(gateway);
   view.entries_good_for = detail::kEntriesGoodFor;
   for (const UpstreamState& upstream : gateway.upstreams.upstreams) {
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -108,7 +108,9 @@
     return Refuse(turn, record,
                   AttemptsFailed(record.last_failure, record.outcome.run));
   }
-  if (MayRetry(turn, record, run)) {
+  // The owner of a key is asked once.
+  const bool forwarded = record.keyed && record.keyed->forwarded;
+  if (!forwarded && MayRetry(turn, record, run)) {
     return Place(turn, record.arrival.number);
   }
   Refuse(turn, record, FailureProblem(record, std::move(problem)));
@@ -123,9 +125,24 @@
     record.resumable = IsEventStream(head);
   }
   MetricsOf(turn.gateway, record).first_byte.Observe(turn.now - record.arrived);
+  if (record.keyed && record.keyed->runs) {
+    record.keyed->recording =
+        std::make_shared<RecordedAnswer>(RecordedAnswer{head, {}});
+  }
   Answer(turn, record, SendAnswerHead{{}, std::move(head)});
 }
 
+// Keeps the answer for resends as long as it is small enough.
+void Keep(const Gateway& gateway, KeyedState& keyed, const std::string& data) {
+  if (keyed.recording == nullptr) {
+    return;
+  }
+  keyed.recording->body += data;
+  if (keyed.recording->body.size() > gateway.keys.settings.max_answer.count()) {
+    keyed.recording.reset();
+  }
+}
+
 // The upstream said that it cannot answer now; another one may.
 [[nodiscard]] bool TryElsewhere(Turn& turn, RequestRecord& record,
                                 std::uint16_t status) {
@@ -180,7 +197,14 @@
   if (record == nullptr || record->outcome.phase != AnswerPhase::kAnswering) {
     return;
   }
-  record->untaken += Bytes{event.data.size()};
+  if (record->keyed) {
+    Keep(turn.gateway, *record->keyed, event.data);
+  }
+  const Bytes size{event.data.size()};
+  if (record->detached) {
+    return GiveCredit(turn, *record, size);
+  }
+  record->untaken += size;
   if (event.last_event_id) {
     record->last_event_id = event.last_event_id;
   }
@@ -205,11 +229,14 @@
   if (!Advance(record->outcome, AnswerPhase::kClosed)) {
     return;
   }
+  record->whole = true;
   ServiceMetrics& metrics = MetricsOf(turn.gateway, *record);
   ++metrics.answered;
   metrics.total.Observe(turn.now - record->arrived);
   Answer(turn, *record, SendAnswerEnd{});
-  Close(turn, record->arrival.number);
+  const RequestNumber number = record->arrival.number;
+  SettleKey(turn, *record);
+  Close(turn, number);
 }
 
 void Handle(Turn& turn, AttemptFailed&& event) {
@@ -218,6 +245,11 @@
     return;
   }
   Learn(record->outcome, event.run);
+  const bool owner_silent =
+      record->keyed && record->keyed->forwarded && !event.problem;
+  if (owner_silent) {
+    Learn(record->outcome, RunState::kUnknown);
+  }
   record->last_failure = event.error.message;
   FinishAttempt(turn, *record,
                 [&](const UpstreamId& id) { NoteFailure(turn, id); });
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -58,24 +58,6 @@
   turn.effects.emplace_back(ForUpstreams{std::move(start)});
 }
 
-void StartOnInstance(Turn& turn, RequestRecord& record,
-                     const PeerConfig& peer) {
-  auto head = std::make_shared<RequestHead>(*record.arrival.head);
-  head->path = record.passed;
-  head->revision = turn.gateway.rules->revision;
-  head->remaining = record.due - turn.now;
-  StartLinkAttempt start;
-  start.attempt =
-      BeginAttempt(turn, record, peer.id, {peer.region, peer.id.value()});
-  start.instance = peer.id;
-  start.remaining = head->remaining;
-  start.head = std::move(head);
-  start.body = record.arrival.body;
-  start.credit = Window(turn.gateway, record);
-  ++MetricsOf(turn.gateway, record).forwarded;
-  turn.effects.emplace_back(ForLinks{std::move(start)});
-}
-
 [[nodiscard]] bool HasPassed(const RequestRecord& record,
                              const PeerConfig& peer) {
   const ::mimosagauge::Place place{peer.region, peer.id.value()};
@@ -84,10 +66,10 @@
 }
 
 // Only the instance that a caller asked passes a request on, so no request
-// travels over more than one link.
+// travels over more than one link. A keyed one stays with its owner.
 [[nodiscard]] bool MayForward(const RequestRecord& record) {
   return record.arrival.origin == Origin::kCaller && !record.resuming &&
-         record.passed.size() < kMaxPlaces - 1;
+         !record.keyed && record.passed.size() < kMaxPlaces - 1;
 }
 
 [[nodiscard]] const PeerConfig* ChoosePeer(Gateway& gateway,
@@ -140,6 +122,24 @@
 
 }  // namespace
 
+void StartOnInstance(Turn& turn, RequestRecord& record,
+                     const PeerConfig& peer) {
+  auto head = std::make_shared<RequestHead>(*record.arrival.head);
+  head->path = record.passed;
+  head->revision = turn.gateway.rules->revision;
+  head->remaining = record.due - turn.now;
+  StartLinkAttempt start;
+  start.attempt =
+      BeginAttempt(turn, record, peer.id, {peer.region, peer.id.value()});
+  start.instance = peer.id;
+  start.remaining = head->remaining;
+  start.head = std::move(head);
+  start.body = record.arrival.body;
+  start.credit = Window(turn.gateway, record);
+  ++MetricsOf(turn.gateway, record).forwarded;
+  turn.effects.emplace_back(ForLinks{std::move(start)});
+}
+
 void Place(Turn& turn, RequestNumber number) {
   Gateway& gateway = turn.gateway;
   RequestRecord& record = gateway.requests.at(number);
--- a/src/duties/caller_connection.cc
+++ b/src/duties/caller_connection.cc
@@ -302,7 +302,7 @@
   }
   if (const auto* own = std::get_if<OwnRequest>(&request)) {
     server_.bodies()->Release(std::exchange(reserved_, 0));
-    AnswerOwn(own->resource);
+    AnswerOwn(*own);
     return;
   }
   Submit(std::move(std::get<UpstreamRequest>(request)), std::move(body));
@@ -326,8 +326,9 @@
   number_ = std::get<RequestNumber>(submitted);
 }
 
-void CallerConnection::AnswerOwn(OwnResource resource) {
-  const OwnAnswer answer = AnswerFor(resource, server_.view());
+void CallerConnection::AnswerOwn(const OwnRequest& request) {
+  const OwnAnswer answer =
+      AnswerFor(request, server_.view(), server_.ticket_secrets());
   SendWhole(answer.status, {{"Content-Type", answer.content_type}},
             answer.body);
 }
--- a/src/duties/caller_request.cc
+++ b/src/duties/caller_request.cc
@@ -140,7 +140,7 @@
     return NotRunProblem(status::kMethodNotAllowed, "method-not-allowed",
                          "the path only answers GET", "send GET");
   }
-  return OwnRequest{own.resource};
+  return OwnRequest{own.resource, {}};
 }
 
 [[nodiscard]] std::optional<Problem> CheckMethod(http::verb method, bool chat) {
@@ -216,7 +216,11 @@
     return Unauthenticated();
   }
   if (own != kOwnPaths.end()) {
-    return ReadOwn(*own, header.method());
+    CallerRequest request = ReadOwn(*own, header.method());
+    if (auto* entry = std::get_if<OwnRequest>(&request)) {
+      entry->account = account->id;
+    }
+    return request;
   }
   return ReadForUpstream(header, *account, settings);
 }
--- a/src/duties/caller_server.cc
+++ b/src/duties/caller_server.cc
@@ -14,6 +14,7 @@
 #include "mimosagauge/impl/core/log_catalogue.h"
 #include "mimosagauge/impl/duties/caller_connection.h"
 #include "mimosagauge/impl/duties/caller_problems.h"
+#include "mimosagauge/impl/duties/hash.h"
 #include "mimosagauge/impl/duties/log.h"
 
 namespace mimosagauge::detail {
@@ -70,7 +71,11 @@
       view_(std::make_shared<InstanceView>()),
       acceptor_(io),
       sweep_timer_(io),
-      accept_timer_(io) {}
+      accept_timer_(io) {
+  if (!settings.ticket_secret.empty()) {
+    ticket_secrets_.push_back(MakeAuthenticator(settings.ticket_secret));
+  }
+}
 
 Result<void> CallerServer::Listen() {
   error_code error;
--- a/src/duties/decisions_duty.cc
+++ b/src/duties/decisions_duty.cc
@@ -56,6 +56,10 @@
   outputs_.links.Post(std::move(effect.effect));
 }
 
+void DecisionsDuty::Carry(ForPlatform&& effect) {
+  outputs_.platform.Post(std::move(effect.effect));
+}
+
 void DecisionsDuty::Carry(ForOperators&& effect) {
   outputs_.operators.Post(std::move(effect.effect));
 }
--- a/src/duties/entry_document.cc
+++ b/src/duties/entry_document.cc
@@ -23,9 +23,21 @@
   return {kOk, kText, "ready\n"};
 }
 
+// The ticket as text; empty when none can be given out.
+[[nodiscard]] std::string TicketFor(const AccountId& account,
+                                    const InstanceView& view,
+                                    std::span<const Authenticator> secrets) {
+  if (!view.ticket || secrets.empty()) {
+    return {};
+  }
+  const Result<std::string> ticket =
+      IssueTicket(secrets, *view.ticket, account);
+  return ticket ? ticket.value() : std::string();
+}
+
 }  // namespace
 
-std::string FormatEntries(const InstanceView& view) {
+std::string FormatEntries(const InstanceView& view, const std::string& ticket) {
   nlohmann::ordered_json document;
   document["entries"] = nlohmann::ordered_json::array();
   for (const EntryInstance& entry : view.entries) {
@@ -37,14 +49,19 @@
   document["good_for_ms"] =
       std::chrono::floor<std::chrono::milliseconds>(view.entries_good_for)
           .count();
+  if (!ticket.empty()) {
+    document["ticket"] = ticket;
+  }
   return document.dump(-1, ' ', false,
                        nlohmann::ordered_json::error_handler_t::replace);
 }
 
-OwnAnswer AnswerFor(OwnResource resource, const InstanceView& view) {
-  switch (resource) {
+OwnAnswer AnswerFor(const OwnRequest& request, const InstanceView& view,
+                    std::span<const Authenticator> secrets) {
+  switch (request.resource) {
     case OwnResource::kEntry:
-      return {kOk, "application/json", FormatEntries(view)};
+      return {kOk, "application/json",
+              FormatEntries(view, TicketFor(request.account, view, secrets))};
     case OwnResource::kReady:
       return Readiness(view);
     case OwnResource::kMetrics:
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/outcome/try.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstddef>
 #include <random>
@@ -18,9 +19,11 @@
 
 #include "mimosagauge/impl/duties/caller_duty.h"
 #include "mimosagauge/impl/duties/decisions_duty.h"
+#include "mimosagauge/impl/duties/hash.h"
 #include "mimosagauge/impl/duties/link_duty.h"
 #include "mimosagauge/impl/duties/log.h"
 #include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/monotonic_clock.h"
 #include "mimosagauge/impl/duties/operators_duty.h"
 #include "mimosagauge/impl/duties/platform_duty.h"
 #include "mimosagauge/impl/duties/upstream_duty.h"
@@ -33,6 +36,28 @@
 // Entries of a ring that carries an occasional event.
 constexpr std::size_t kQuietRing = 256;
 
+[[nodiscard]] std::uint64_t RandomNumber() {
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> any;
+  return any(device);
+}
+
+// The settings, and what tells this start of the instance from all others.
+[[nodiscard]] GatewayConfig StartConfig(const Settings& settings) {
+  GatewayConfig config = ConfigOf(settings);
+  const auto wall_time = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wall_time);
+  config.self = {settings.instance,
+                 Incarnation{static_cast<std::uint64_t>(milliseconds.count())},
+                 RandomNumber()};
+  config.hash = MakeHashFunction();
+  if (!settings.ticket_secret.empty()) {
+    config.ticket_secrets = {MakeAuthenticator(settings.ticket_secret)};
+  }
+  return config;
+}
+
 /// \brief An event loop and the thread that runs it.
 class DutyThread {
  public:
@@ -95,6 +120,7 @@
   Mailbox<CallerEffect> to_callers_;
   Mailbox<UpstreamEffect> to_upstreams_;
   Mailbox<LinkEffect> to_links_;
+  Mailbox<ClaimStoreEffect> to_platform_;
   Mailbox<PublishView> to_operators_;
   Mailbox<ChangeRules> edits_;
   Mailbox<RulesChanged> edit_outcomes_;
@@ -120,6 +146,7 @@
       to_callers_(decisions_.io(), callers_.io(), kBusyRing),
       to_upstreams_(decisions_.io(), upstreams_.io(), kBusyRing),
       to_links_(decisions_.io(), links_.io(), kBusyRing),
+      to_platform_(decisions_.io(), platform_.io(), kQuietRing),
       to_operators_(decisions_.io(), operators_.io(), kQuietRing),
       edits_(operators_.io(), platform_.io(), kQuietRing),
       edit_outcomes_(platform_.io(), operators_.io(), kQuietRing),
@@ -130,8 +157,10 @@
       operators_duty_(operators_.io(), settings, from_operators_, edits_),
       decisions_duty_(
           decisions_.io(),
-          MakeGateway(ConfigOf(settings), std::random_device{}()),
-          DecisionOutputs{to_callers_, to_upstreams_, to_links_, to_operators_,
+          MakeGateway(StartConfig(settings), MonotonicNow(),
+                      std::random_device{}()),
+          DecisionOutputs{to_callers_, to_upstreams_, to_links_, to_platform_,
+                          to_operators_,
                           [this] {
                             boost::asio::post(callers_.io(), [this] {
                               caller_duty_.StopAccepting();
@@ -161,6 +190,9 @@
   });
   to_links_.set_handler(
       [this](LinkEffect&& effect) { link_duty_.Handle(std::move(effect)); });
+  to_platform_.set_handler([this](ClaimStoreEffect&& effect) {
+    platform_duty_.Handle(std::move(effect));
+  });
   to_operators_.set_handler([this](PublishView&& effect) {
     operators_duty_.Handle(std::move(effect));
   });
--- a/src/duties/platform_duty.cc
+++ b/src/duties/platform_duty.cc
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "mimosagauge/impl/duties/log.h"
 #include "mimosagauge/impl/platform/rules_writer.h"
+#include "mimosagauge/impl/wire/once_codec.h"
 
 namespace mimosagauge {
 namespace {
@@ -25,6 +27,30 @@
   return client;
 }
 
+[[nodiscard]] std::string ClaimsKey(const std::string& prefix,
+                                    SlotNumber slot) {
+  return prefix + "claims/" + std::to_string(slot.value());
+}
+
+// A slot whose bytes do not hold must not be written over, so it counts as
+// one that could not be read.
+[[nodiscard]] StoreEvent SlotFrom(const LoadSlot& load,
+                                  const Result<StoreRead>& read) {
+  if (!read) {
+    return SlotLoadFailed{load.slot, load.call};
+  }
+  if (read.value().entries.empty()) {
+    return SlotLoaded{load.slot, load.call, {}, {}};
+  }
+  const StoreEntry& entry = read.value().entries.front();
+  Result<SlotValue> value = DecodeSlot(entry.value);
+  if (!value) {
+    return SlotLoadFailed{load.slot, load.call};
+  }
+  return SlotLoaded{load.slot, load.call, SlotRevision{entry.modified.value()},
+                    std::move(value.value())};
+}
+
 }  // namespace
 
 PlatformDuty::PlatformDuty(boost::asio::io_context& io_context,
@@ -257,4 +283,47 @@
   }
 }
 
+void PlatformDuty::Handle(ClaimStoreEffect&& effect) {
+  if (const auto* load = std::get_if<LoadSlot>(&effect)) {
+    return Load(*load);
+  }
+  Commit(std::get<CommitClaims>(effect));
+}
+
+void PlatformDuty::Load(const LoadSlot& load) {
+  if (store_ == nullptr) {
+    return AnswerClaims(SlotLoadFailed{load.slot, load.call});
+  }
+  store_->Get({ClaimsKey(prefix_, load.slot)},
+              [this, load](Result<StoreRead>&& read) {
+                AnswerClaims(SlotFrom(load, read));
+              });
+}
+
+void PlatformDuty::Commit(const CommitClaims& commit) {
+  if (store_ == nullptr) {
+    return AnswerClaims(ClaimOutcomeUnknown{commit.slot, commit.call});
+  }
+  const std::string key = ClaimsKey(prefix_, commit.slot);
+  StoreTransaction transaction;
+  transaction.conditions = {{key, StoreRevision{commit.expected.value()}}};
+  transaction.writes = {StorePut{key, EncodeSlot(*commit.value), {}}};
+  const SlotNumber slot = commit.slot;
+  const StoreCallNumber call = commit.call;
+  store_->Commit(transaction, [this, slot, call](Result<StoreCommit>&& done) {
+    if (!done) {
+      return AnswerClaims(ClaimOutcomeUnknown{slot, call});
+    }
+    if (!done.value().applied) {
+      return AnswerClaims(ClaimConflict{slot, call});
+    }
+    AnswerClaims(ClaimCommitted{slot, call,
+                                SlotRevision{done.value().revision.value()}});
+  });
+}
+
+void PlatformDuty::AnswerClaims(StoreEvent answer) {
+  decisions_.Post(ClaimStoreAnswered{std::move(answer)});
+}
+
 }  // namespace mimosagauge
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -206,6 +206,9 @@
   if (auto section = OpenSection(file, "operator")) {
     ReadToken(*section, settings.operator_token);
   }
+  if (auto section = OpenSection(file, "tickets")) {
+    ReadToken(*section, settings.ticket_secret);
+  }
   if (auto section = OpenSection(file, "policy")) {
     Read(*section, "cost_weight", settings.policy.cost_weight);
     Read(*section, "tail_weight", settings.policy.tail_weight);
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -201,7 +201,8 @@
   std::string text = fmt::format(
       "instance: {}\nregion: {}\nzone: {}\n"
       "listen: {{entry: '{}', peer: '{}', operators: '{}'}}\n"
-      "operator: {{token: {}}}\nplatform: {{store: ['{}']}}\n",
+      "operator: {{token: {}}}\ntickets: {{token: ticket-secret}}\nplatform: "
+      "{{store: ['{}']}}\n",
       member.name, member.region,
       ZoneOf(member.region, member.name.back() - '1'), ToString(member.entry),
       ToString(member.peer), ToString(member.operators), kOperatorToken,
--- a/tests/support/session.cc
+++ b/tests/support/session.cc
@@ -7,6 +7,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "mimosagauge/impl/duties/hash.h"
+
 namespace mimosagauge::testing {
 namespace {
 
@@ -148,7 +150,7 @@
 }
 
 Session::Session(const GatewayConfig& config, std::string_view rules)
-    : gateway_(MakeGateway(config, 1)), now_(std::chrono::seconds(1)) {
+    : now_(std::chrono::seconds(1)), gateway_(MakeGateway(config, now_, 1)) {
   if (!rules.empty()) {
     Rules(rules, 1);
   }
@@ -254,6 +256,9 @@
   GatewayConfig config;
   config.instance = InstanceId{"nairobi-1"};
   config.region = RegionId{"nairobi-a"};
+  config.self = {config.instance, Incarnation{1}, 1};
+  config.hash = MakeHashFunction();
+  config.ticket_secrets = {MakeAuthenticator("secret")};
   config.zone = ZoneId{"nairobi-a-1"};
   const ServiceId quotes{"quote-assistant"};
   const ZoneId zone{"nairobi-a-1"};
--- a/tests/support/session.h
+++ b/tests/support/session.h
@@ -58,8 +58,8 @@
  private:
   void Note(std::string_view mark, const std::string& line);
 
-  Gateway gateway_;
   TimePoint now_;
+  Gateway gateway_;
   std::uint64_t next_caller_ = 2;
   std::uint64_t next_link_ = 1;
   std::string text_;
