--- a/bench/link_main.cc
+++ b/bench/link_main.cc
@@ -142,8 +142,10 @@
   }
 
   void OnNear(const Event& event) {
-    if (std::holds_alternative<LinkChanged>(event)) {
-      up.set_value();
+    if (const auto* change = std::get_if<LinkChanged>(&event)) {
+      if (change->up) {
+        up.set_value();
+      }
     } else if (const auto* part = std::get_if<AttemptBody>(&event)) {
       received += part->data.size();
     } else if (std::holds_alternative<AttemptEnded>(event)) {
