Links: a test of broken answers that only a broken answer can pass; lint

Cause: with the sequence check taken out, the test still passed, since the silent stand-in's link was closed and failed the attempt. Change: the test asks for the kind of error that a broken answer has.

--- a/tests/support/link_certificates.cc
+++ b/tests/support/link_certificates.cc
@@ -116,9 +116,9 @@
   X509_set_issuer_name(certificate.get(),
                        X509_get_subject_name(certificate_.get()));
   Require(X509_sign(certificate.get(), key_.get(), EVP_sha256()) != 0);
-  const LinkTlsSettings files{directory_ / (name + ".pem"),
-                              directory_ / (name + ".key"),
-                              directory_ / "authority.pem"};
+  LinkTlsSettings files{directory_ / (name + ".pem"),
+                        directory_ / (name + ".key"),
+                        directory_ / "authority.pem"};
   Write(files.certificate_file, certificate.get());
   Write(files.key_file, key.get());
   return files;
--- a/tests/unit/link_authentication_test.cc
+++ b/tests/unit/link_authentication_test.cc
@@ -11,10 +11,9 @@
 
 using Naming = LinkAuthority::Naming;
 
-const std::string kNear = "nairobi-a-1";
-const std::string kFar = "mombasa-a-1";
+constexpr char kNear[] = "nairobi-a-1";
+constexpr char kFar[] = "mombasa-a-1";
 constexpr long kExpired = -60;  // NOLINT(google-runtime-int): OpenSSL
-constexpr long kHour = 3600;    // NOLINT(google-runtime-int): OpenSSL
 
 [[nodiscard]] Settings WithTls(const std::string& instance,
                                std::optional<LinkTlsSettings> tls) {
--- a/tests/unit/link_failures_test.cc
+++ b/tests/unit/link_failures_test.cc
@@ -10,7 +10,7 @@
 namespace mimosagauge::testing {
 namespace {
 
-const std::string kFar = "mombasa-a-1";
+constexpr char kFar[] = "mombasa-a-1";
 
 /// Two instances with a link from `near` to `far` through a relay.
 struct RelayedPair {
--- a/tests/unit/link_hostile_input_test.cc
+++ b/tests/unit/link_hostile_input_test.cc
@@ -16,7 +16,7 @@
 
 using boost::asio::ip::tcp;
 
-const std::string kFar = "mombasa-a-1";
+constexpr char kFar[] = "mombasa-a-1";
 
 /// A connection that speaks raw bytes.
 struct Stranger {
@@ -231,6 +231,8 @@
   const auto failed = near.WaitOf<AttemptFailed>(1);
   REQUIRE(failed);
   CHECK(failed->run != RunState::kNotRun);
+  // Because of what came, not because the link then went silent.
+  CHECK(failed->error.kind == ErrorKind::kInvalidInput);
   CHECK(near.All<AttemptEnded>().empty());
 }
 
