--- a/include/mimosagauge/impl/duties/operators_duty.h
+++ b/include/mimosagauge/impl/duties/operators_duty.h
@@ -27,8 +27,8 @@
 /// \brief Bounds of the operators duty.
 struct OperatorsDutyOptions {
   std::size_t connections = 64;
-  std::size_t header_bytes = 16U * 1024;
-  std::size_t body_bytes = 2U * 1024 * 1024;
+  std::size_t header_bytes = 16UL * 1024;
+  std::size_t body_bytes = 2UL * 1024 * 1024;
   Duration request_timeout = std::chrono::seconds(10);  ///< To come in whole.
   Duration idle_timeout = std::chrono::seconds(60);
 };
--- a/include/mimosagauge/impl/platform/store.h
+++ b/include/mimosagauge/impl/platform/store.h
@@ -21,7 +21,7 @@
 using LeaseId = StrongNumber<struct LeaseTag>;
 
 /// Most bytes in one value; the service itself takes a megabyte.
-inline constexpr std::size_t kMaxStoreValueBytes = 1000 * 1000;
+inline constexpr std::size_t kMaxStoreValueBytes = 1000UL * 1000;
 
 /// \brief A key and its value.
 struct StoreEntry {
--- a/include/mimosagauge/impl/platform/store_client.h
+++ b/include/mimosagauge/impl/platform/store_client.h
@@ -36,7 +36,7 @@
   Duration longest_backoff = std::chrono::seconds(5);
   std::size_t connections = 8;      ///< At once, without the watches'.
   std::size_t waiting_calls = 256;  ///< For a connection.
-  std::size_t answer_bytes = 4U * 1024 * 1024;
+  std::size_t answer_bytes = 4UL * 1024 * 1024;
   std::uint64_t seed = 1;  ///< Of the jitter.
 };
 
--- a/src/duties/operators_server.cc
+++ b/src/duties/operators_server.cc
@@ -262,7 +262,7 @@
   error_code ignored;
   acceptor_.close(ignored);
   pause_.cancel();
-  handler_ = [](const OperatorRequest&, OperatorsDuty::AnswerHandler) {};
+  handler_ = [](const OperatorRequest&, const OperatorsDuty::AnswerHandler&) {};
   for (const auto& session : std::exchange(sessions_, {})) {
     session->Close();
   }
--- a/src/platform/store_codec.cc
+++ b/src/platform/store_codec.cc
@@ -241,7 +241,7 @@
   if (!ReadId(object, "ID", lease.id) || !ReadNumber(object, "TTL", seconds)) {
     return false;
   }
-  constexpr std::uint64_t kLongestSeconds = 1000U * 1000U * 1000U;
+  constexpr std::uint64_t kLongestSeconds = 1000UL * 1000 * 1000;
   lease.remaining = std::chrono::seconds(std::min(seconds, kLongestSeconds));
   return lease.id != LeaseId{};
 }
--- a/src/platform/store_watch_loop.h
+++ b/src/platform/store_watch_loop.h
@@ -32,7 +32,7 @@
 
  private:
   using ErrorCode = boost::system::error_code;
-  static constexpr std::size_t kReadBytes = 16 * 1024;
+  static constexpr std::size_t kReadBytes = 16UL * 1024;
 
   // One connection's worth; an old one's handlers find it replaced.
   struct Connection {
--- a/src/queries/operators_client.cc
+++ b/src/queries/operators_client.cc
@@ -27,7 +27,7 @@
 using nlohmann::json;
 
 constexpr int kHttp11 = 11;
-constexpr std::size_t kMaxAnswerBytes = 16U * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 16UL * 1024 * 1024;
 constexpr const char* kTokenVariable = "MIMOSAGAUGE_TOKEN";
 constexpr Duration kConnectTimeout = std::chrono::seconds(3);
 
