--- a/src/duties/caller_connection.cc
+++ b/src/duties/caller_connection.cc
@@ -29,14 +29,14 @@
 using boost::system::error_code;
 
 // Read from a socket at once.
-constexpr std::size_t kHeaderReadBytes = 4 * 1024;
-constexpr std::size_t kBodyReadBytes = 32 * 1024;
+constexpr std::size_t kHeaderReadBytes = 4UL * 1024;
+constexpr std::size_t kBodyReadBytes = 32UL * 1024;
 // A body has to grow by this much within each header timeout.
 constexpr std::size_t kMinBodyProgress = 1024;
 // How long a closed connection waits for the caller to read the last answer.
 constexpr std::chrono::seconds kLingerTime{2};
 // Capacity that an idle connection may keep in a buffer.
-constexpr std::size_t kKeptCapacity = 4 * 1024;
+constexpr std::size_t kKeptCapacity = 4UL * 1024;
 constexpr std::uint16_t kBadGateway = 502;
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/src/duties/event_stream.cc
+++ b/src/duties/event_stream.cc
@@ -10,7 +10,7 @@
 constexpr std::string_view kLineEnds = "\r\n";
 constexpr std::string_view kDone = "[DONE]";
 // Capacity that an empty splitter may keep.
-constexpr std::size_t kKeptCapacity = 2 * 1024;
+constexpr std::size_t kKeptCapacity = 2UL * 1024;
 
 // A line `NAME: VALUE`; one space after the colon is left out.
 struct Field {
--- a/src/duties/upstream_attempt.cc
+++ b/src/duties/upstream_attempt.cc
@@ -28,10 +28,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::size_t kReadBytes = 8 * 1024;
-constexpr std::size_t kWriteBytes = 64 * 1024;
-constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
-constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+constexpr std::size_t kReadBytes = 8UL * 1024;
+constexpr std::size_t kWriteBytes = 64UL * 1024;
+constexpr std::uint32_t kMaxHeadBytes = 64U * 1024;
+constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 constexpr int kMaxInterimHeads = 8;
 constexpr std::chrono::nanoseconds kLongestConnect = std::chrono::seconds(3);
 constexpr unsigned kFirstFinalStatus = 200;
--- a/tests/standins/engine_main.cc
+++ b/tests/standins/engine_main.cc
@@ -75,11 +75,11 @@
          EngineOptions options)
       : io_(io),
         options_(std::move(options)),
-        server_(
-            io, listen,
-            [this](StandinRequest request, StandinConnectionPtr connection) {
-              Handle(request, std::move(connection));
-            }) {}
+        server_(io, listen,
+                [this](const StandinRequest& request,
+                       StandinConnectionPtr connection) {
+                  Handle(request, std::move(connection));
+                }) {}
 
   [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
--- a/tests/standins/plain_service_main.cc
+++ b/tests/standins/plain_service_main.cc
@@ -32,16 +32,17 @@
                std::string name)
       : io_(io),
         name_(std::move(name)),
-        server_(
-            io, listen,
-            [this](StandinRequest request, StandinConnectionPtr connection) {
-              Handle(std::move(request), std::move(connection));
-            }) {}
+        server_(io, listen,
+                [this](const StandinRequest& request,
+                       const StandinConnectionPtr& connection) {
+                  Handle(request, connection);
+                }) {}
 
   [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
  private:
-  void Handle(StandinRequest request, StandinConnectionPtr connection) {
+  void Handle(const StandinRequest& request,
+              const StandinConnectionPtr& connection) {
     if (record_.HandleControl(request, *connection, server_)) {
       return;
     }
--- a/tests/support/standin_server.cc
+++ b/tests/support/standin_server.cc
@@ -120,7 +120,7 @@
   Gone();
 }
 
-void StandinConnection::Send(std::string bytes) {
+void StandinConnection::Send(std::string_view bytes) {
   if (closed_ || silent_) {
     return;
   }
@@ -136,12 +136,11 @@
       socket_, asio::buffer(writing_),
       [self = shared_from_this()](const error_code& error, std::size_t) {
         self->writing_.clear();
-        if (error || self->closed_) {
+        const bool over = self->out_.empty() && self->ended_ && self->closing_;
+        if (error || self->closed_ || over) {
           self->Gone();
         } else if (!self->out_.empty()) {
           self->Write();
-        } else if (self->ended_ && self->closing_) {
-          self->Gone();
         } else if (self->ended_) {
           self->Read();
         }
--- a/tests/support/standin_server.h
+++ b/tests/support/standin_server.h
@@ -59,7 +59,7 @@
  private:
   void OnRequest();
   void Watch();
-  void Send(std::string bytes);
+  void Send(std::string_view bytes);
   void Write();
   void Gone();
 
