--- a/include/mimosagauge/impl/duties/link_client.h
+++ b/include/mimosagauge/impl/duties/link_client.h
@@ -10,7 +10,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -23,14 +22,12 @@
 
 namespace mimosagauge {
 
-/// Takes messages of control state machines.
-using GossipHandler =
-    std::function<void(const InstanceId& from, GossipMessage&& gossip)>;
-
 /// \brief Counts of the dialing side since the start.
 struct LinkClientCounters {
-  std::uint64_t late_frames = 0;     ///< Of cancelled or unknown attempts.
-  std::uint64_t broken_answers = 0;  ///< Gap, repeat, wrong total, overrun.
+  std::uint64_t failed_connections = 0;  ///< Ended before they were up.
+  std::uint64_t late_frames = 0;         ///< Of cancelled or unknown attempts.
+  std::uint64_t dropped_gossip = 0;      ///< No link, or too much queued on it.
+  std::uint64_t broken_answers = 0;      ///< Gap, repeat, wrong total, overrun.
 };
 
 /// \brief Keeps one link to each other instance it has to do with.
@@ -61,12 +58,8 @@
   void Handle(const CancelAttempt& cancel);
   void Handle(const CreditAttempt& credit);
 
-  void set_gossip_handler(GossipHandler handler) {
-    gossip_ = std::move(handler);
-  }
-  /// \returns Whether the link is up and took the message.
-  [[nodiscard]] bool SendGossip(const InstanceId& to,
-                                const GossipMessage& gossip);
+  /// \brief Sends control state if the link is up, else drops it and counts.
+  void Handle(SendGossip&& gossip);
 
   [[nodiscard]] const LinkClientCounters& counters() const noexcept {
     return counters_;
@@ -139,7 +132,6 @@
   Mailbox<Event>& decisions_;
   LinkTlsContextPtr tls_;
   HelloMessage own_;
-  GossipHandler gossip_;
   bool stopped_ = false;
   std::unordered_map<InstanceId, PeerPtr> peers_;
   std::unordered_map<AttemptNumber, Peer*> peer_of_;  // Live attempts.
--- a/include/mimosagauge/impl/wire/messages.h
+++ b/include/mimosagauge/impl/wire/messages.h
@@ -96,9 +96,8 @@
   Problem problem;
 };
 
-/// \brief Bytes of a control state machine, opaque to the link.
+/// \brief Control state of an instance, opaque to the link.
 struct GossipMessage {
-  std::string topic;  ///< Names the state machine.
   std::string data;
 };
 
--- a/include/mimosagauge/impl/wire/peer_generated.h
+++ b/include/mimosagauge/impl/wire/peer_generated.h
@@ -1410,19 +1410,13 @@
   typedef GossipBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TOPIC = 4,
-    VT_DATA = 6
+    VT_DATA = 4
   };
-  const flatbuffers::String *topic() const {
-    return GetPointer<const flatbuffers::String *>(VT_TOPIC);
-  }
   const flatbuffers::Vector<uint8_t> *data() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_TOPIC) &&
-           verifier.VerifyString(topic()) &&
            VerifyOffsetRequired(verifier, VT_DATA) &&
            verifier.VerifyVector(data()) &&
            verifier.EndTable();
@@ -1433,9 +1427,6 @@
   typedef Gossip Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_topic(flatbuffers::Offset<flatbuffers::String> topic) {
-    fbb_.AddOffset(Gossip::VT_TOPIC, topic);
-  }
   void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
     fbb_.AddOffset(Gossip::VT_DATA, data);
   }
@@ -1446,7 +1437,6 @@
   flatbuffers::Offset<Gossip> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<Gossip>(end);
-    fbb_.Required(o, Gossip::VT_TOPIC);
     fbb_.Required(o, Gossip::VT_DATA);
     return o;
   }
@@ -1454,11 +1444,9 @@
 
 inline flatbuffers::Offset<Gossip> CreateGossip(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> topic = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
   GossipBuilder builder_(_fbb);
   builder_.add_data(data);
-  builder_.add_topic(topic);
   return builder_.Finish();
 }
 
@@ -1469,13 +1457,10 @@
 
 inline flatbuffers::Offset<Gossip> CreateGossipDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *topic = nullptr,
     const std::vector<uint8_t> *data = nullptr) {
-  auto topic__ = topic ? _fbb.CreateString(topic) : 0;
   auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
   return mimosagauge::wire::CreateGossip(
       _fbb,
-      topic__,
       data__);
 }
 
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -14,6 +14,7 @@
     log_events::kDraining,
     log_events::kStopped,
     log_events::kDrainTimeout,
+    log_events::kUpstreamEjected,
     log_events::kListening,
     log_events::kRequestRefused,
     log_events::kCallerLeft,
@@ -46,7 +47,6 @@
     log_events::kRulesRemoved,
     log_events::kRulesOlder,
     log_events::kRulesAccepted,
-    log_events::kUpstreamEjected,
 };
 // clang-format on
 
