--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -70,7 +70,7 @@
     "look for something that drops idle connections to the service"};
 inline constexpr LogEvent kOperatorRefused{
     5101, LogLevel::kWarning, "an operator's request without a valid token",
-    "give the token of settings operators.token"};
+    "give the token of settings operator.token"};
 
 inline constexpr LogEvent kRulesLearned{
     6001, LogLevel::kInfo, "rules learned from the key-value service", ""};
--- a/src/duties/caller_server.cc
+++ b/src/duties/caller_server.cc
@@ -92,7 +92,7 @@
     return Error{ErrorKind::kUnavailable,
                  "cannot listen on " + ToString(settings_.entry) + ": " +
                      error.message(),
-                 "free the address or change 'entry' in the settings"};
+                 "free the address or change listen.entry in the settings"};
   }
   port_ = acceptor_.local_endpoint().port();
   accepting_ = true;
