--- a/include/mimosagauge/impl/decisions/request.h
+++ b/include/mimosagauge/impl/decisions/request.h
@@ -53,7 +53,8 @@
   std::vector<Header> headers;  ///< End-to-end fields only.
   std::optional<IdempotencyKey> key;
   ContentDigest digest;
-  Duration remaining{};     ///< Until the answer is due, at sending time.
+  Duration remaining{};     ///< Until the answer is due, at sending time; zero
+                            ///< when the caller did not say.
   std::vector<Place> path;  ///< In order; each place at most once.
   Revision revision;        ///< Rules under which the sender allowed it.
   bool stream = false;      ///< The caller asked for server-sent events.
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -51,6 +51,7 @@
   start.upstream = id;
   start.head = record.arrival.head;
   start.body = record.arrival.body;
+  start.priority = record.verdict.priority;
   start.remaining = record.due - turn.now;
   start.credit = Window(gateway, record);
   start.last_event_id = record.last_event_id;
--- a/src/duties/caller_request.cc
+++ b/src/duties/caller_request.cc
@@ -166,7 +166,6 @@
   head.method = ToView(header.method_string());
   head.target = ToView(header.target());
   head.caller_path = PathOf(head.target);
-  head.remaining = settings.limits.default_due;
   request.chat = head.caller_path == kChatPath;
   auto problem = CheckMethod(header.method(), request.chat);
   if (!problem) {
