Rules spread between running instances; peers hear of a leave at once

Cause: the state machine that spreads rules was not joined to links, so an instance started with the store down stayed not ready; and a leaving instance stood in the others' entry lists until its links closed. Change: gossip goes in and out of the decisions, revisions of the others are shown, the goodbye goes out when the drain begins. A stream whose last event has no id is no longer resumed, since it could repeat events.

--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -126,6 +126,9 @@
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
+/// \brief Tell the other instances that this one is leaving.
+struct BeginLeaving {};
+
 /// \brief Take no new callers from now on.
 struct StopAccepting {};
 
@@ -140,8 +143,9 @@
 struct ForOperators {
   PublishView effect;
 };
-using Effect = std::variant<ForUpstreams, ForCallers, ForLinks, ForPlatform,
-                            ForOperators, WriteLog, StopAccepting, Finished>;
+using Effect =
+    std::variant<ForUpstreams, ForCallers, ForLinks, ForPlatform, ForOperators,
+                 WriteLog, BeginLeaving, StopAccepting, Finished>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -23,6 +23,7 @@
 #include "mimosagauge/impl/decisions/once/key_table.h"
 #include "mimosagauge/impl/decisions/outcome.h"
 #include "mimosagauge/impl/decisions/retry_budget.h"
+#include "mimosagauge/impl/decisions/rules_spread.h"
 #include "mimosagauge/impl/decisions/upstream_table.h"
 #include "mimosagauge/impl/decisions/waiting_queue.h"
 
@@ -75,6 +76,7 @@
 struct Gateway {
   GatewayConfig config;
   std::shared_ptr<const RuleSet> rules;  ///< Null until the first arrive.
+  RulesSpread spread;                    ///< Its rules are `rules`.
   UpstreamTable upstreams;
   std::vector<PeerState> peers;
   /// Each request in progress; one is erased when its outcome is closed.
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -65,6 +65,8 @@
 
 /// \brief Carries out what the key table says.
 void Apply(Turn& turn, KeyEffects&& effects);
+/// \brief Puts rules into force and tells the other instances.
+void Apply(Turn& turn, RulesSpreadOutput&& output);
 /// \brief Carries out what the claim committer says.
 void Apply(Turn& turn, ClaimEffects&& effects);
 
--- a/include/mimosagauge/impl/duties/decisions_duty.h
+++ b/include/mimosagauge/impl/duties/decisions_duty.h
@@ -19,6 +19,7 @@
   Mailbox<LinkEffect>& links;
   Mailbox<ClaimStoreEffect>& platform;
   Mailbox<PublishView>& operators;
+  std::function<void()> begin_leaving;         ///< Any thread.
   std::function<void()> stop_accepting;        ///< Any thread.
   std::function<void(bool in_time)> finished;  ///< Any thread.
 };
@@ -44,6 +45,7 @@
   void Carry(ForPlatform&& effect);
   void Carry(ForOperators&& effect);
   void Carry(WriteLog&& effect);
+  void Carry(BeginLeaving&& effect);
   void Carry(StopAccepting&& effect);
   void Carry(Finished&& effect);
 
--- a/include/mimosagauge/impl/duties/platform_duty.h
+++ b/include/mimosagauge/impl/duties/platform_duty.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <string>
 
+#include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
 #include "mimosagauge/impl/duties/mailbox.h"
 #include "mimosagauge/impl/duties/platform_messages.h"
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -144,6 +144,23 @@
   return entries;
 }
 
+[[nodiscard]] std::vector<InstanceRevisionView> Revisions(
+    const Gateway& gateway, TimePoint now) {
+  std::vector<InstanceRevisionView> revisions;
+  for (const PeerState& peer : gateway.peers) {
+    InstanceRevisionView view;
+    view.id = peer.config.id;
+    view.region = peer.config.region;
+    const auto known = gateway.spread.known.find(peer.config.id);
+    if (known != gateway.spread.known.end()) {
+      view.revision = known->second.revision;
+      view.age = now - known->second.heard;
+    }
+    revisions.push_back(std::move(view));
+  }
+  return revisions;
+}
+
 [[nodiscard]] std::string_view StateName(const UpstreamState& upstream,
                                          TimePoint now) {
   if (upstream.leaving) {
@@ -212,14 +229,23 @@
 }
 
 void Handle(Turn& turn, RulesArrived&& event) {
-  Gateway& gateway = turn.gateway;
-  const bool newer = gateway.rules == nullptr ||
-                     gateway.rules->revision < event.rules->revision;
-  if (!newer) {
-    return;
+  Apply(turn, LearnRules(turn.gateway.spread, std::move(event.rules)));
+}
+
+void Apply(Turn& turn, RulesSpreadOutput&& output) {
+  if (output.adopted != nullptr) {
+    turn.gateway.rules = std::move(output.adopted);
+    turn.gateway.last_view = TimePoint{};
+  }
+  for (RulesMessageTo& message : output.messages) {
+    turn.effects.emplace_back(ForLinks{SendGossip{
+        std::move(message.to), EncodeRulesMessage(message.message)}});
+  }
+  if (!output.faults.empty()) {
+    const RuleFault& fault = output.faults.front();
+    turn.effects.emplace_back(
+        WriteLog{log_events::kRulesDamaged, {{"detail", fault.message}}});
   }
-  gateway.rules = std::move(event.rules);
-  gateway.last_view = TimePoint{};
 }
 
 void Handle(Turn& turn, LinkChanged&& event) {
@@ -228,9 +254,18 @@
       peer.up = event.up;
     }
   }
+  Apply(turn, ChangeMember(turn.gateway.spread, event.instance, event.up));
 }
 
-void Handle(Turn&, GossipArrived&&) {}
+void Handle(Turn& turn, GossipArrived&& event) {
+  const Result<RulesMessage> message = DecodeRulesMessage(event.bytes);
+  if (!message) {
+    ++turn.gateway.metrics.discarded;
+    return;
+  }
+  Apply(turn,
+        HearRules(turn.gateway.spread, event.from, message.value(), turn.now));
+}
 
 void Handle(Turn& turn, DrainRequested&&) {
   Gateway& gateway = turn.gateway;
@@ -240,6 +275,7 @@
   gateway.drain_began = turn.now;
   gateway.last_view = TimePoint{};
   turn.effects.emplace_back(WriteLog{log_events::kDraining, {}});
+  turn.effects.emplace_back(BeginLeaving{});
 }
 
 void Handle(Turn& turn, ClaimStoreAnswered&& event) {
@@ -249,6 +285,7 @@
 void Handle(Turn& turn, Tick&&) {
   Apply(turn, ForgetKeys(turn.gateway.keys, turn.now));
   Apply(turn, TickClaims(turn.gateway.claims, turn.now));
+  Apply(turn, AdvanceRules(turn.gateway.spread, turn.now));
 }
 
 ServiceMetrics& MetricsOf(Gateway& gateway, const RequestRecord& record) {
@@ -344,6 +381,7 @@
   gateway.waiting.capacity = config.limits.queued;
   gateway.config = std::move(config);
   gateway.random.seed(seed);
+  gateway.spread = MakeRulesSpread({}, seed);
   return gateway;
 }
 
@@ -375,6 +413,7 @@
                               std::string(detail::StateName(upstream, now)),
                               upstream.in_flight, upstream.limit});
   }
+  view.revisions = detail::Revisions(gateway, now);
   view.metrics = PrometheusText(gateway.metrics);
   return view;
 }
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -205,6 +205,8 @@
     return GiveCredit(turn, *record, size);
   }
   record->untaken += size;
+  // Without an id of its last event a stream cannot be continued exactly.
+  record->resumable = record->resumable && event.last_event_id.has_value();
   if (event.last_event_id) {
     record->last_event_id = event.last_event_id;
   }
--- a/src/duties/decisions_duty.cc
+++ b/src/duties/decisions_duty.cc
@@ -68,6 +68,8 @@
   LogCollected(effect.event, effect.fields);
 }
 
+void DecisionsDuty::Carry(BeginLeaving&&) { outputs_.begin_leaving(); }
+
 void DecisionsDuty::Carry(StopAccepting&&) { outputs_.stop_accepting(); }
 
 void DecisionsDuty::Carry(Finished&& effect) {
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -161,6 +161,10 @@
                       std::random_device{}()),
           DecisionOutputs{to_callers_, to_upstreams_, to_links_, to_platform_,
                           to_operators_,
+                          [this] {
+                            boost::asio::post(links_.io(),
+                                              [this] { link_duty_.Leave(); });
+                          },
                           [this] {
                             boost::asio::post(callers_.io(), [this] {
                               caller_duty_.StopAccepting();
--- a/tests/support/session.cc
+++ b/tests/support/session.cc
@@ -125,6 +125,9 @@
 [[nodiscard]] std::string Line(const WriteLog& e) {
   return fmt::format("log {} {}", e.event.number, e.event.text);
 }
+[[nodiscard]] std::string Line(const BeginLeaving&) {
+  return "tell the others that this instance is leaving";
+}
 [[nodiscard]] std::string Line(const StopAccepting&) {
   return "stop accepting callers";
 }
