Capacity: allocation without exceptions is counted too

Cause: std::stable_sort allocates with the nothrow operator new, which the bench had not replaced; under AddressSanitizer it ended with alloc-dealloc-mismatch.

--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -33,12 +33,16 @@
 
 }  // namespace
 
-void* operator new(std::size_t size) {
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
   void* const block = std::malloc(size);
+  held_bytes += malloc_usable_size(block);
+  return block;
+}
+void* operator new(std::size_t size) {
+  void* const block = operator new(size, std::nothrow);
   if (block == nullptr) {
     throw std::bad_alloc();
   }
-  held_bytes += malloc_usable_size(block);
   return block;
 }
 void operator delete(void* block) noexcept { Release(block); }
