Waiting lines by service, dispatched when something was freed

Cause: each event tried the first eight waiting requests again, whatever it was about, and a choice of upstream compared every upstream of the region. Besides, eight waiting requests of a busy service kept those of all other services from being tried. Ruled out: a wider dispatch, which makes each event dearer still. The new session busy_service_holds_up_no_other shows the third lookup started as soon as its own upstream is free.

--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -131,7 +131,7 @@
  public:
   Bench(std::size_t upstreams, std::size_t peers,
         const std::shared_ptr<const RuleSet>& rules)
-      : gateway_(MakeGateway(Config(upstreams, peers), 1)),
+      : gateway_(MakeGateway(Config(upstreams, peers), TimePoint{}, 1)),
         models_(std::min(upstreams, kModels)) {
     static_cast<void>(Do(RulesArrived{rules}));
     for (std::size_t i = 1; i <= peers; ++i) {
@@ -304,7 +304,7 @@
   fmt::print("\n| {} | bytes each |\n| ---: | ---: |\n", name);
   for (const std::size_t count : counts) {
     const double before = HeldBytes();
-    const Gateway gateway = MakeGateway(make(count), 1);
+    const Gateway gateway = MakeGateway(make(count), TimePoint{}, 1);
     fmt::print("| {} | {:.0f} |\n", count,
                (HeldBytes() - before) / static_cast<double>(count));
   }
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -54,7 +54,7 @@
   std::vector<Place> passed;  ///< Places before and tried from here, in order.
   std::size_t attempts = 0;   ///< Started so far.
   std::optional<Attempt> running;     ///< At most one at a time.
-  std::optional<WaitingEntry> place;  ///< Set while it waits for an upstream.
+  std::optional<WaitingPlace> place;  ///< Set while it waits for an upstream.
   bool resuming = false;  ///< The attempt continues an answer begun before.
   std::optional<std::string> last_event_id;  ///< Passed on to the caller.
   bool resumable = false;                    ///< The answer is a stream.
@@ -86,6 +86,9 @@
   std::unordered_map<AttemptNumber, RequestNumber> attempts;
   std::set<std::pair<TimePoint, RequestNumber>> deadlines;
   WaitingQueue waiting;
+  /// Services whose waiting requests may find a place now.
+  std::set<ServiceId> freed;
+  bool all_freed = false;  ///< That holds for every service.
   KeyTable keys;
   ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -76,7 +76,10 @@
 /// \brief Lets the running attempt send more.
 void GiveCredit(Turn& turn, const RequestRecord& record, Bytes bytes);
 
-/// \brief Tries the first requests in line again.
+/// \brief Takes note that an upstream can take on more work.
+void NoteFreed(Gateway& gateway, const UpstreamId& upstream);
+
+/// \brief Tries the first requests of each line that may move.
 void Dispatch(Turn& turn);
 
 /// \brief One overload for each event.
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -25,10 +25,19 @@
   TimePoint ejected_until{};  ///< Gets no new work before.
 };
 
+/// \brief The upstreams of one service, by what they offer.
+struct ServiceUpstreams {
+  std::vector<std::size_t> all;
+  std::unordered_map<ModelId, std::vector<std::size_t>> by_model;
+  std::vector<std::size_t> without_models;  ///< They take any request.
+};
+
 /// \brief All upstreams of this region.
 struct UpstreamTable {
   std::vector<UpstreamState> upstreams;
   std::unordered_map<UpstreamId, std::size_t> index;  ///< Into `upstreams`.
+  /// The upstreams of each service; positions in `upstreams`, rising.
+  std::unordered_map<ServiceId, ServiceUpstreams> services;
 };
 
 /// \brief What an upstream must offer.
--- a/include/mimosagauge/impl/decisions/waiting_queue.h
+++ b/include/mimosagauge/impl/decisions/waiting_queue.h
@@ -7,8 +7,10 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 #include "mimosagauge/impl/core/ids.h"
@@ -22,27 +24,45 @@
   TimePoint due;
   RequestNumber number;
 
+  [[nodiscard]] friend bool operator==(const WaitingEntry&,
+                                       const WaitingEntry&) = default;
   [[nodiscard]] friend auto operator<=>(const WaitingEntry&,
                                         const WaitingEntry&) = default;
 };
 
+/// \brief Where a request waits.
+struct WaitingPlace {
+  ServiceId service;
+  WaitingEntry entry;
+
+  [[nodiscard]] friend bool operator==(const WaitingPlace&,
+                                       const WaitingPlace&) = default;
+};
+
 /// \brief Bounded priority queue; earliest deadline first within a priority.
+///
+/// Each service has a line of its own, so that one that is busy holds up no
+/// other; the bound is on all lines together.
 struct WaitingQueue {
   std::size_t capacity = 0;
-  std::set<WaitingEntry> entries;  ///< At most `capacity`.
+  std::set<WaitingEntry> entries;  ///< Of all lines; at most `capacity`.
+  /// The same entries by service; no line is empty.
+  std::map<ServiceId, std::set<WaitingEntry>> lines;
+  std::unordered_map<RequestNumber, ServiceId> services;  ///< Of the entries.
 };
 
 /// \brief Puts a request in line.
 /// \returns The request that lost its place: none while there is room, else
 /// the last in line, which may be the new one.
 [[nodiscard]] std::optional<RequestNumber> Enqueue(WaitingQueue& queue,
-                                                   const WaitingEntry& entry);
+                                                   const WaitingPlace& place);
 
 /// \brief Takes a request out of line; nothing happens when it is not in.
-void Dequeue(WaitingQueue& queue, const WaitingEntry& entry);
+void Dequeue(WaitingQueue& queue, const WaitingPlace& place);
 
-/// \returns The first `count` requests in line.
+/// \returns The first `count` requests in the line of a service.
 [[nodiscard]] std::vector<RequestNumber> First(const WaitingQueue& queue,
+                                               const ServiceId& service,
                                                std::size_t count);
 
 }  // namespace mimosagauge
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -236,6 +236,7 @@
   if (output.adopted != nullptr) {
     turn.gateway.rules = std::move(output.adopted);
     turn.gateway.last_view = TimePoint{};
+    turn.gateway.all_freed = true;
   }
   for (RulesMessageTo& message : output.messages) {
     turn.effects.emplace_back(ForLinks{SendGossip{
@@ -254,6 +255,7 @@
       peer.up = event.up;
     }
   }
+  turn.gateway.all_freed = true;
   Apply(turn, ChangeMember(turn.gateway.spread, event.instance, event.up));
 }
 
@@ -283,6 +285,8 @@
 }
 
 void Handle(Turn& turn, Tick&&) {
+  // Ejections end with time alone.
+  turn.gateway.all_freed = true;
   Apply(turn, ForgetKeys(turn.gateway.keys, turn.now));
   Apply(turn, TickClaims(turn.gateway.claims, turn.now));
   Apply(turn, AdvanceRules(turn.gateway.spread, turn.now));
@@ -290,11 +294,7 @@
 
 ServiceMetrics& MetricsOf(Gateway& gateway, const RequestRecord& record) {
   const ServiceId& service = record.verdict.service;
-  const auto known = std::any_of(gateway.upstreams.upstreams.begin(),
-                                 gateway.upstreams.upstreams.end(),
-                                 [&](const UpstreamState& state) {
-                                   return state.config.service == service;
-                                 });
+  const bool known = gateway.upstreams.services.contains(service);
   static const ServiceId kOther("other");
   return gateway.metrics.services[known ? service : kOther];
 }
@@ -315,6 +315,7 @@
   Learn(record.outcome, RunState::kUnknown);
   if (const auto* upstream = std::get_if<UpstreamId>(&attempt.target)) {
     DropWork(turn.gateway.upstreams, *upstream);
+    NoteFreed(turn.gateway, *upstream);
     turn.effects.emplace_back(ForUpstreams{CancelAttempt{attempt.number}});
   } else {
     turn.effects.emplace_back(ForLinks{CancelAttempt{attempt.number}});
@@ -357,6 +358,12 @@
   Close(turn, number);
 }
 
+void NoteFreed(Gateway& gateway, const UpstreamId& upstream) {
+  if (const UpstreamState* state = FindUpstream(gateway.upstreams, upstream)) {
+    gateway.freed.insert(state->config.service);
+  }
+}
+
 void GiveCredit(Turn& turn, const RequestRecord& record, Bytes bytes) {
   if (!record.running || bytes == Bytes{}) {
     return;
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -50,6 +50,7 @@
   turn.gateway.attempts.erase(attempt.number);
   if (const auto* upstream = std::get_if<UpstreamId>(&attempt.target)) {
     finish(*upstream);
+    NoteFreed(turn.gateway, *upstream);
   }
 }
 
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -10,7 +10,7 @@
 namespace mimosagauge::detail {
 namespace {
 
-// Requests tried again per event; the rest of the queue waits behind them.
+// Requests of a service tried at once; the rest of its line waits behind.
 constexpr std::size_t kDispatchWidth = 8;
 
 [[nodiscard]] UpstreamNeed NeedOf(const RequestRecord& record) {
@@ -95,11 +95,17 @@
 }
 
 void Wait(Turn& turn, RequestRecord& record) {
-  if (record.place) {
+  const RequestNumber number = record.arrival.number;
+  const WaitingPlace place{record.verdict.service,
+                           {record.verdict.priority, record.due, number}};
+  if (record.place == place) {
     return;
   }
-  const RequestNumber number = record.arrival.number;
-  record.place = WaitingEntry{record.verdict.priority, record.due, number};
+  // New rules may have given it another service or priority.
+  if (record.place) {
+    Dequeue(turn.gateway.waiting, *record.place);
+  }
+  record.place = place;
   const auto loser = Enqueue(turn.gateway.waiting, *record.place);
   if (!loser) {
     return;
@@ -172,11 +178,20 @@
 }
 
 void Dispatch(Turn& turn) {
-  for (const RequestNumber number :
-       First(turn.gateway.waiting, kDispatchWidth)) {
-    // An earlier one in this loop may have pushed it out.
-    if (FindRequest(turn.gateway, number) != nullptr) {
-      Place(turn, number);
+  Gateway& gateway = turn.gateway;
+  std::set<ServiceId> services = std::exchange(gateway.freed, {});
+  if (std::exchange(gateway.all_freed, false)) {
+    for (const auto& [service, line] : gateway.waiting.lines) {
+      services.insert(service);
+    }
+  }
+  for (const ServiceId& service : services) {
+    for (const RequestNumber number :
+         First(gateway.waiting, service, kDispatchWidth)) {
+      // An earlier one in this loop may have pushed it out.
+      if (FindRequest(gateway, number) != nullptr) {
+        Place(turn, number);
+      }
     }
   }
 }
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -12,19 +12,28 @@
 constexpr Duration kFirstEjection = std::chrono::seconds(1);
 constexpr Duration kLongestEjection = std::chrono::seconds(30);
 
-[[nodiscard]] bool Offers(const UpstreamConfig& config,
-                          const UpstreamNeed& need) {
-  if (config.service != need.service) {
+// Calls `visit` with each upstream that offers the service and model, until
+// it returns true.
+// \returns Whether it did.
+template <typename Visit>
+bool AnyOffering(const UpstreamTable& table, const UpstreamNeed& need,
+                 Visit&& visit) {
+  const auto service = table.services.find(need.service);
+  if (service == table.services.end()) {
     return false;
   }
-  if (need.resume && !config.honours_resume) {
-    return false;
-  }
-  if (need.model.empty() || config.models.empty()) {
-    return true;
+  const auto any_of = [&](const std::vector<std::size_t>& positions) {
+    return std::any_of(
+        positions.begin(), positions.end(),
+        [&](std::size_t position) { return visit(table.upstreams[position]); });
+  };
+  if (need.model.empty()) {
+    return any_of(service->second.all);
   }
-  return std::find(config.models.begin(), config.models.end(), need.model) !=
-         config.models.end();
+  const auto model = service->second.by_model.find(need.model);
+  const bool found = model != service->second.by_model.end();
+  return (found && any_of(model->second)) ||
+         any_of(service->second.without_models);
 }
 
 [[nodiscard]] bool Passed(const UpstreamNeed& need, const RegionId& region,
@@ -37,7 +46,8 @@
 
 [[nodiscard]] bool Suits(const UpstreamState& upstream,
                          const UpstreamNeed& need, const RegionId& region) {
-  return !upstream.leaving && Offers(upstream.config, need) &&
+  return !upstream.leaving &&
+         (!need.resume || upstream.config.honours_resume) &&
          !Passed(need, region, upstream.config.id);
 }
 
@@ -67,12 +77,10 @@
                             const UpstreamState& candidate, TimePoint now) {
   std::size_t all = 0;
   std::size_t ejected = 0;
-  for (const UpstreamState& upstream : table.upstreams) {
-    if (upstream.config.service != candidate.config.service) {
-      continue;
-    }
+  for (const std::size_t position :
+       table.services.at(candidate.config.service).all) {
     ++all;
-    ejected += upstream.ejected_until > now ? 1 : 0;
+    ejected += table.upstreams[position].ejected_until > now ? 1 : 0;
   }
   return (ejected + 1) * 2 <= all;
 }
@@ -85,7 +93,16 @@
     UpstreamState state;
     state.config = config;
     state.limit = std::max<std::size_t>(1, config.concurrency);
-    table.index.emplace(config.id, table.upstreams.size());
+    const std::size_t position = table.upstreams.size();
+    table.index.emplace(config.id, position);
+    ServiceUpstreams& service = table.services[config.service];
+    service.all.push_back(position);
+    for (const ModelId& model : config.models) {
+      service.by_model[model].push_back(position);
+    }
+    if (config.models.empty()) {
+      service.without_models.push_back(position);
+    }
     table.upstreams.push_back(std::move(state));
   }
   return table;
@@ -103,15 +120,14 @@
                                          const RegionId& region,
                                          TimePoint now) {
   const UpstreamState* best = nullptr;
-  for (const UpstreamState& upstream : table.upstreams) {
-    if (upstream.in_flight >= upstream.limit ||
-        !Usable(upstream, need, region, now)) {
-      continue;
-    }
-    if (best == nullptr || Better(upstream, *best, zone)) {
+  AnyOffering(table, need, [&](const UpstreamState& upstream) {
+    const bool free = upstream.in_flight < upstream.limit &&
+                      Usable(upstream, need, region, now);
+    if (free && (best == nullptr || Better(upstream, *best, zone))) {
       best = &upstream;
     }
-  }
+    return false;
+  });
   if (best == nullptr) {
     return std::nullopt;
   }
@@ -120,18 +136,16 @@
 
 bool CanServe(const UpstreamTable& table, const UpstreamNeed& need,
               const RegionId& region, TimePoint now) {
-  return std::any_of(table.upstreams.begin(), table.upstreams.end(),
-                     [&](const UpstreamState& upstream) {
-                       return Usable(upstream, need, region, now);
-                     });
+  return AnyOffering(table, need, [&](const UpstreamState& upstream) {
+    return Usable(upstream, need, region, now);
+  });
 }
 
 bool CanServeLater(const UpstreamTable& table, const UpstreamNeed& need,
                    const RegionId& region) {
-  return std::any_of(table.upstreams.begin(), table.upstreams.end(),
-                     [&](const UpstreamState& upstream) {
-                       return Suits(upstream, need, region);
-                     });
+  return AnyOffering(table, need, [&](const UpstreamState& upstream) {
+    return Suits(upstream, need, region);
+  });
 }
 
 void BeginWork(UpstreamTable& table, const UpstreamId& id) {
--- a/src/decisions/waiting_queue.cc
+++ b/src/decisions/waiting_queue.cc
@@ -5,26 +5,49 @@
 #include <iterator>
 
 namespace mimosagauge {
+namespace {
+
+void Remove(WaitingQueue& queue, const WaitingEntry& entry) {
+  const auto service = queue.services.find(entry.number);
+  if (service == queue.services.end()) {
+    return;
+  }
+  const auto line = queue.lines.find(service->second);
+  line->second.erase(entry);
+  if (line->second.empty()) {
+    queue.lines.erase(line);
+  }
+  queue.services.erase(service);
+  queue.entries.erase(entry);
+}
+
+}  // namespace
 
 std::optional<RequestNumber> Enqueue(WaitingQueue& queue,
-                                     const WaitingEntry& entry) {
-  queue.entries.insert(entry);
+                                     const WaitingPlace& place) {
+  queue.entries.insert(place.entry);
+  queue.lines[place.service].insert(place.entry);
+  queue.services.emplace(place.entry.number, place.service);
   if (queue.entries.size() <= queue.capacity) {
     return std::nullopt;
   }
-  const auto last = std::prev(queue.entries.end());
-  const RequestNumber loser = last->number;
-  queue.entries.erase(last);
-  return loser;
+  const WaitingEntry last = *std::prev(queue.entries.end());
+  Remove(queue, last);
+  return last.number;
 }
 
-void Dequeue(WaitingQueue& queue, const WaitingEntry& entry) {
-  queue.entries.erase(entry);
+void Dequeue(WaitingQueue& queue, const WaitingPlace& place) {
+  Remove(queue, place.entry);
 }
 
-std::vector<RequestNumber> First(const WaitingQueue& queue, std::size_t count) {
+std::vector<RequestNumber> First(const WaitingQueue& queue,
+                                 const ServiceId& service, std::size_t count) {
   std::vector<RequestNumber> first;
-  for (const WaitingEntry& entry : queue.entries) {
+  const auto line = queue.lines.find(service);
+  if (line == queue.lines.end()) {
+    return first;
+  }
+  for (const WaitingEntry& entry : line->second) {
     if (first.size() == count) {
       break;
     }
--- a/tests/unit/gateway_sessions_test.cc
+++ b/tests/unit/gateway_sessions_test.cc
@@ -125,6 +125,18 @@
   s.Ended(1);
 }
 
+void BusyServiceHoldsUpNoOther(Session& s) {
+  s.gateway().waiting.capacity = 20;
+  for (int i = 0; i < 2 + 9; ++i) {
+    s.FromCaller(Quote("county-club"));
+  }
+  s.FromCaller(Desk("GET"));
+  s.FromCaller(Desk("GET"));
+  s.FromCaller(Desk("GET"));
+  s.Answered(3);
+  s.Ended(3);
+}
+
 void HomeBoundIsNotSentAway(Session& s) {
   s.Feed(LinkChanged{InstanceId{"mombasa-1"}, true});
   s.FromCaller(Quote("home-club"));
@@ -261,6 +273,7 @@
       {"due_time_while_running", DueTimeWhileRunning},
       {"due_time_while_waiting", DueTimeWhileWaiting},
       {"full_queue_refuses_the_last", FullQueueRefusesTheLast},
+      {"busy_service_holds_up_no_other", BusyServiceHoldsUpNoOther},
       {"home_bound_is_not_sent_away", HomeBoundIsNotSentAway},
       {"home_bound_is_refused_on_arrival", HomeBoundIsRefusedOnArrival},
       {"unserved_here_goes_elsewhere", UnservedHereGoesElsewhere},
