A drain that runs out of time with an awaited key no longer ends the process

Cause: refusing a keyed run also refuses the calls that wait for its key, and the loop over the open requests then looked up one that was gone; the exception would have ended the process. Found while rule changes and drains were added to the random walk of the gateway's promises, which had neither. Before: the session drain_runs_out_of_time_with_a_key_ awaited fails with unordered_map::at; after: both calls are told unknown. What a drain cuts off is no longer started in the same step. Golden sessions of keyed calls in the gateway itself were added.

--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -72,9 +72,13 @@
   }
   std::sort(numbers.begin(), numbers.end());
   for (const RequestNumber number : numbers) {
-    RequestRecord& record = turn.gateway.requests.at(number);
-    CancelRunning(turn, record);
-    Refuse(turn, record, Stopping(record.outcome.run));
+    RequestRecord* record = FindRequest(turn.gateway, number);
+    // One that waited for the key of an earlier one went with it.
+    if (record == nullptr) {
+      continue;
+    }
+    CancelRunning(turn, *record);
+    Refuse(turn, *record, Stopping(record->outcome.run));
   }
 }
 
@@ -398,8 +402,9 @@
   detail::ExpireRequests(turn);
   std::visit([&turn](auto&& typed) { detail::Handle(turn, std::move(typed)); },
              std::move(event));
-  detail::Dispatch(turn);
+  // First, so that nothing is started only to be cut off.
   detail::ContinueDrain(turn);
+  detail::Dispatch(turn);
   detail::PublishViews(turn);
   return effects;
 }
--- a/tests/property/gateway_promises_property_test.cc
+++ b/tests/property/gateway_promises_property_test.cc
@@ -27,7 +27,15 @@
     "route quote-assistant model=quote-*  # Wanjiru Kamau\n"
     "retry yes service=quote-assistant account=again-*  # Wanjiru Kamau\n"
     "stay nairobi-a account=*-home  # the county office\n";
+// Under these nobody may leave the region.
+constexpr std::string_view kStrictRules =
+    "route quote-assistant model=quote-*  # Wanjiru Kamau\n"
+    "retry yes service=quote-assistant account=again-*  # Wanjiru Kamau\n"
+    "stay nairobi-a service=quote-assistant  # the county office\n";
 constexpr std::size_t kEventsInAnswer = 4;
+constexpr std::uint32_t kMoves = 18;
+// One in so many drain moves drains, since nothing new is taken on after it.
+constexpr std::uint32_t kDrainOdds = 8;
 
 struct Traits {
   bool idempotent = false;
@@ -63,7 +71,7 @@
   // One random step; `choice` picks it and its subject.
   void Move(std::uint32_t choice) {
     const std::uint32_t subject = choice >> 8U;
-    switch (choice % 16) {
+    switch (choice % kMoves) {
       case 0:
       case 1:
       case 2:
@@ -87,6 +95,10 @@
         return Abandon(subject);
       case 14:
         return Pass(subject);
+      case 15:
+        return ChangeRules(subject);
+      case 16:
+        return Drain(subject);
       default:
         return Link(subject);
     }
@@ -223,6 +235,19 @@
         LinkChanged{InstanceId{"mombasa-1"}, (subject & 1U) != 0}));
   }
 
+  void ChangeRules(std::uint32_t subject) {
+    strict_ = (subject & 1U) != 0;
+    Absorb(session_.Rules(strict_ ? kStrictRules : kRules, ++revision_));
+    // What came earlier and arrives late changes nothing.
+    Absorb(session_.Rules(strict_ ? kRules : kStrictRules, revision_ - 1));
+  }
+
+  void Drain(std::uint32_t subject) {
+    if (subject % kDrainOdds == 0) {
+      Absorb(session_.Feed(DrainRequested{}));
+    }
+  }
+
   void Absorb(const std::vector<Effect>& effects) {
     for (const Effect& effect : effects) {
       if (const auto* upstream = std::get_if<ForUpstreams>(&effect)) {
@@ -255,6 +280,7 @@
     Started(start.attempt, start.instance.value(), std::nullopt);
     const RequestNumber number = upstreams_.at(start.attempt.value()).request;
     RC_ASSERT(!callers_.at(number).traits.home_bound);
+    RC_ASSERT(!strict_);
   }
   void See(const CancelAttempt& cancel) {
     upstreams_.at(cancel.attempt.value()).cancelled = true;
@@ -300,6 +326,8 @@
   }
 
   Session session_;
+  bool strict_ = false;
+  std::uint64_t revision_ = 1;
   std::uint64_t next_request_ = 2;
   std::map<RequestNumber, CallerSide> callers_;
   Attempts upstreams_;
--- a/tests/support/session.cc
+++ b/tests/support/session.cc
@@ -173,7 +173,8 @@
   return effects;
 }
 
-void Session::Rules(std::string_view text, std::uint64_t revision) {
+std::vector<Effect> Session::Rules(std::string_view text,
+                                   std::uint64_t revision) {
   std::vector<RuleFault> faults;
   auto rules = std::make_shared<RuleSet>(ParseRules(text, faults));
   if (!faults.empty()) {
@@ -181,7 +182,7 @@
                                 ": " + faults[0].message);
   }
   rules->revision = Revision{revision};
-  Feed(RulesArrived{std::move(rules)});
+  return Feed(RulesArrived{std::move(rules)});
 }
 
 RequestNumber Session::FromCaller(const RequestText& text) {
@@ -247,6 +248,7 @@
   head.method = text.method;
   head.caller_path = text.path;
   head.target = text.path;
+  head.digest = ContentDigest{std::string(64, 'd')};
   head.remaining = text.remaining;
   head.path = text.passed;
   if (!text.key.empty()) {
--- a/tests/support/session.h
+++ b/tests/support/session.h
@@ -36,7 +36,7 @@
   std::vector<Effect> Feed(Event event);
 
   /// \brief Hands in a new rules text as revision `revision`.
-  void Rules(std::string_view text, std::uint64_t revision);
+  std::vector<Effect> Rules(std::string_view text, std::uint64_t revision);
   /// \brief A caller's request; numbered 2, 4, 6, ...
   RequestNumber FromCaller(const RequestText& text);
   /// \brief A request of another instance; numbered 1, 3, 5, ...
--- a/tests/unit/gateway_sessions_test.cc
+++ b/tests/unit/gateway_sessions_test.cc
@@ -222,6 +222,54 @@
   s.Advance(seconds(30));
 }
 
+// A deposit under a ticket of this instance.
+RequestText KeyedDeposit(Session& s) {
+  RequestText text = Desk("POST");
+  const auto ticket = View(s.gateway(), s.now()).ticket;
+  text.key = IssueTicket(s.gateway().config.ticket_secrets, ticket.value(),
+                         AccountId{text.account})
+                 .value() +
+             ":deposit";
+  return text;
+}
+
+void KeySentAgainGetsTheFirstAnswer(Session& s) {
+  const RequestText deposit = KeyedDeposit(s);
+  s.FromCaller(deposit);
+  s.FromCaller(deposit);
+  s.Answered(1);
+  s.Body(1, "recorded");
+  s.Ended(1);
+  s.FromCaller(deposit);
+}
+
+void KeyedRunGoesOnWithoutItsCaller(Session& s) {
+  const RequestText deposit = KeyedDeposit(s);
+  const RequestNumber number = s.FromCaller(deposit);
+  s.Feed(RequestAbandoned{number});
+  s.Answered(1);
+  s.Body(1, "recorded");
+  s.Ended(1);
+  s.FromCaller(deposit);
+}
+
+void KeyOfAFailedRunIsUnknown(Session& s) {
+  const RequestText deposit = KeyedDeposit(s);
+  s.FromCaller(deposit);
+  s.FromCaller(deposit);
+  s.Failed(1, RunState::kUnknown);
+  s.FromCaller(deposit);
+}
+
+void DrainRunsOutOfTimeWithAKeyAwaited(Session& s) {
+  const RequestText deposit = KeyedDeposit(s);
+  s.FromCaller(deposit);
+  s.FromCaller(deposit);
+  s.Feed(DrainRequested{});
+  s.Advance(seconds(4));
+  s.Advance(seconds(30));
+}
+
 void NoRulesNotReady(Session& s) {
   Session fresh(testing::TwoRegions(), "");
   fresh.FromCaller(Quote());
@@ -283,6 +331,11 @@
       {"slow_caller_holds_its_own_stream", SlowCallerHoldsItsOwnStream},
       {"drain_finishes_work", DrainFinishesWork},
       {"drain_runs_out_of_time", DrainRunsOutOfTime},
+      {"key_sent_again_gets_the_first_answer", KeySentAgainGetsTheFirstAnswer},
+      {"keyed_run_goes_on_without_its_caller", KeyedRunGoesOnWithoutItsCaller},
+      {"key_of_a_failed_run_is_unknown", KeyOfAFailedRunIsUnknown},
+      {"drain_runs_out_of_time_with_a_key_awaited",
+       DrainRunsOutOfTimeWithAKeyAwaited},
       {"no_rules_not_ready", NoRulesNotReady},
       {"failing_upstream_is_ejected", FailingUpstreamIsEjected},
       {"unavailable_upstream_is_replaced", UnavailableUpstreamIsReplaced},
