--- a/include/mimosagauge/impl/core/strong_id.h
+++ b/include/mimosagauge/impl/core/strong_id.h
@@ -61,8 +61,11 @@
 
   [[nodiscard]] friend constexpr bool operator==(StrongNumber,
                                                  StrongNumber) = default;
+  // The check takes the operator for a comparison with 0.
+  // NOLINTBEGIN(modernize-use-nullptr)
   [[nodiscard]] friend constexpr auto operator<=>(StrongNumber,
                                                   StrongNumber) = default;
+  // NOLINTEND(modernize-use-nullptr)
 
  private:
   std::uint64_t value_ = 0;
--- a/include/mimosagauge/impl/core/units.h
+++ b/include/mimosagauge/impl/core/units.h
@@ -38,8 +38,10 @@
     return a -= b;
   }
   [[nodiscard]] friend constexpr bool operator==(Quantity, Quantity) = default;
-  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the operator for a 0.
+  // The check takes the operator for a comparison with 0.
+  // NOLINTBEGIN(modernize-use-nullptr)
   [[nodiscard]] friend constexpr auto operator<=>(Quantity, Quantity) = default;
+  // NOLINTEND(modernize-use-nullptr)
 
  private:
   std::uint64_t count_ = 0;
@@ -62,8 +64,10 @@
   /// \returns The part, from 0 to 1.
   [[nodiscard]] constexpr double value() const noexcept { return value_; }
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the operator for a 0.
+  // The check takes the operator for a comparison with 0.
+  // NOLINTBEGIN(modernize-use-nullptr)
   [[nodiscard]] friend constexpr auto operator<=>(Share, Share) = default;
+  // NOLINTEND(modernize-use-nullptr)
 
  private:
   double value_ = 0;
--- a/include/mimosagauge/impl/decisions/waiting_queue.h
+++ b/include/mimosagauge/impl/decisions/waiting_queue.h
@@ -26,8 +26,11 @@
 
   [[nodiscard]] friend bool operator==(const WaitingEntry&,
                                        const WaitingEntry&) = default;
+  // The check takes the operator for a comparison with 0.
+  // NOLINTBEGIN(modernize-use-nullptr)
   [[nodiscard]] friend auto operator<=>(const WaitingEntry&,
                                         const WaitingEntry&) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 /// \brief Where a request waits.
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -400,8 +400,11 @@
   std::vector<Effect> effects;
   detail::Turn turn{gateway, now, effects};
   detail::ExpireRequests(turn);
-  std::visit([&turn](auto&& typed) { detail::Handle(turn, std::move(typed)); },
-             std::move(event));
+  std::visit(
+      [&turn](auto&& typed) {
+        detail::Handle(turn, std::forward<decltype(typed)>(typed));
+      },
+      std::move(event));
   // First, so that nothing is started only to be cut off.
   detail::ContinueDrain(turn);
   detail::Dispatch(turn);
--- a/src/duties/decisions_duty.cc
+++ b/src/duties/decisions_duty.cc
@@ -28,8 +28,9 @@
 
 void DecisionsDuty::Deliver(Event&& event) {
   for (Effect& effect : Step(gateway_, MonotonicNow(), std::move(event))) {
-    std::visit([this](auto&& typed) { Carry(std::move(typed)); },
-               std::move(effect));
+    std::visit(
+        [this](auto&& typed) { Carry(std::forward<decltype(typed)>(typed)); },
+        std::move(effect));
   }
 }
 
--- a/tests/support/golden.cc
+++ b/tests/support/golden.cc
@@ -37,8 +37,10 @@
     const std::string wanted_line = NextLine(wanted);
     const std::string seen_line = NextLine(seen);
     if (wanted_line != seen_line) {
-      return name + ".txt:" + std::to_string(number) +
-             "\n  golden: " + wanted_line + "\n  now:    " + seen_line;
+      std::ostringstream difference;
+      difference << name << ".txt:" << number << "\n  golden: " << wanted_line
+                 << "\n  now:    " << seen_line;
+      return difference.str();
     }
     ++number;
   }
--- a/tests/support/http_client.cc
+++ b/tests/support/http_client.cc
@@ -66,7 +66,7 @@
   }
 
   void TakeHead() {
-    reply_.status = parser_.get().result_int();
+    reply_.status = static_cast<int>(parser_.get().result_int());
     for (const auto& field : parser_.get()) {
       std::string name(field.name_string());
       boost::algorithm::to_lower(name);
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -48,6 +48,7 @@
 Process::Process(const std::vector<std::string>& words, std::string output)
     : output_(std::move(output)) {
   std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
   for (const std::string& word : words) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -22,7 +22,7 @@
 using nlohmann::json;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxBodyBytes = 4UL * 1024 * 1024;
 constexpr std::chrono::milliseconds kExpiryInterval{50};
 constexpr const char* kWatchTarget = "/v3/watch";
 
@@ -223,8 +223,7 @@
 
 StoreStandin::StoreStandin(asio::io_context& io_context,
                            const Endpoint& endpoint)
-    : io_context_(io_context),
-      acceptor_(io_context,
+    : acceptor_(io_context,
                 tcp::endpoint(asio::ip::make_address(endpoint.address),
                               endpoint.port)),
       expiry_(io_context) {
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -61,7 +61,6 @@
   void Expire();
   void CloseSessions();
 
-  boost::asio::io_context& io_context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer expiry_;
   StoreState state_;
--- a/tests/unit/gateway_sessions_test.cc
+++ b/tests/unit/gateway_sessions_test.cc
@@ -278,13 +278,13 @@
 }
 
 void FailingUpstreamIsEjected(Session& s) {
-  for (int i = 0; i < 3; ++i) {
+  for (std::uint64_t attempt = 1; attempt < 10; attempt += 3) {
     s.FromCaller(Desk("GET"));
     s.FromCaller(Quote());
-    s.Failed(static_cast<std::uint64_t>(3 * i + 1), RunState::kUnknown);
-    s.Failed(static_cast<std::uint64_t>(3 * i + 2), RunState::kNotRun);
-    s.Answered(static_cast<std::uint64_t>(3 * i + 3));
-    s.Ended(static_cast<std::uint64_t>(3 * i + 3));
+    s.Failed(attempt, RunState::kUnknown);
+    s.Failed(attempt + 1, RunState::kNotRun);
+    s.Answered(attempt + 2);
+    s.Ended(attempt + 2);
   }
 }
 
@@ -344,8 +344,10 @@
   CAPTURE(test.name);
   Session session(testing::TwoRegions(), kRules);
   test.play(session);
-  CHECK(testing::CheckGolden(std::string("gateway_") + test.name,
-                             session.text()) == "");
+  const std::string difference =
+      testing::CheckGolden(std::string("gateway_") + test.name, session.text());
+  CAPTURE(difference);
+  CHECK(difference.empty());
 }
 
 }  // namespace mimosagauge
--- a/tests/unit/rules_in_force_test.cc
+++ b/tests/unit/rules_in_force_test.cc
@@ -27,7 +27,8 @@
 /// \brief A platform duty, run on the test's own thread.
 class Duty {
  public:
-  explicit Duty(const Endpoint& store, PlatformDutyOptions options = Quick()) {
+  explicit Duty(const Endpoint& store,
+                const PlatformDutyOptions& options = Quick()) {
     Settings settings;
     settings.store = {store};
     duty_ = std::make_unique<PlatformDuty>(io_context_, settings, decisions_,
