--- a/tests/unit/operators_api_test.cc
+++ b/tests/unit/operators_api_test.cc
@@ -1,6 +1,9 @@
 // The operators' address: who may come in, what is answered, and the
 // subcommands that call it.
 
+#include <fmt/format.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -129,11 +132,17 @@
   std::thread thread_;
 };
 
+// A name that no other file has, in this process or another one.
+[[nodiscard]] std::string FreshFileName() {
+  static int number = 0;
+  return fmt::format("{}/operators_api_test-{}-{}.txt", MIMOSAGAUGE_BINARY_DIR,
+                     getpid(), ++number);
+}
+
 /// \brief A file in the build folder, removed at the end.
 class File {
  public:
-  explicit File(const std::string& text)
-      : name_(std::string(MIMOSAGAUGE_BINARY_DIR) + "/operators_api_test.txt") {
+  explicit File(const std::string& text) : name_(FreshFileName()) {
     std::ofstream(name_) << text;
   }
   ~File() { std::remove(name_.c_str()); }
