--- a/src/duties/operators_duty.cc
+++ b/src/duties/operators_duty.cc
@@ -11,8 +11,8 @@
 namespace {
 
 [[nodiscard]] const InstanceView& EmptyView() {
-  static const InstanceView view;
-  return view;
+  static const InstanceView kEmpty;
+  return kEmpty;
 }
 
 [[nodiscard]] OperatorAnswer NoSuchPath() {
