--- a/bench/link_main.cc
+++ b/bench/link_main.cc
@@ -20,8 +20,8 @@
 #include <utility>
 #include <vector>
 
-#include "mimosagauge/impl/duties/link_duty.h"
-#include "mimosagauge/impl/duties/log.h"
+#include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/links/duty.h"
 
 namespace mimosagauge {
 namespace {
--- a/bench/once_main.cc
+++ b/bench/once_main.cc
@@ -15,7 +15,7 @@
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/once/key_table.h"
 #include "mimosagauge/impl/decisions/once/ticket.h"
-#include "mimosagauge/impl/duties/hash.h"
+#include "mimosagauge/impl/duties/common/hash.h"
 
 namespace mimosagauge {
 namespace {
--- a/cmake/warnings.cmake
+++ b/cmake/warnings.cmake
@@ -1,7 +1,10 @@
 # Compiler options that every target of the project shares.
 function(mimosagauge_compile_options target)
   target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow
-                         -Wold-style-cast -Wnon-virtual-dtor -Woverloaded-virtual -Werror)
+                         -Wold-style-cast -Wnon-virtual-dtor -Woverloaded-virtual)
+  if(MIMOSAGAUGE_WERROR)
+    target_compile_options(${target} PRIVATE -Werror)
+  endif()
   target_compile_definitions(${target} PRIVATE SPDLOG_FMT_EXTERNAL
                              BOOST_ASIO_NO_DEPRECATED
                              BOOST_ASIO_DISABLE_IO_URING)
--- a/include/mimosagauge/impl/core/ring.h
+++ b/include/mimosagauge/impl/core/ring.h
@@ -5,6 +5,7 @@
 
 #include <boost/lockfree/spsc_queue.hpp>
 #include <cstddef>
+#include <memory>
 #include <utility>
 
 namespace mimosagauge {
@@ -12,12 +13,18 @@
 /// \brief Bounded queue for one producer thread and one consumer thread.
 ///
 /// A full ring refuses the item and leaves it with the producer, which keeps
-/// it or answers "not run, retry later"; nothing is dropped here.
+/// it or answers "not run, retry later"; nothing is dropped here. Memory for
+/// an item is taken while it is in the ring, not before.
 template <typename T>
 class Ring {
  public:
   /// \param capacity Most items held at once.
   explicit Ring(std::size_t capacity) : queue_(capacity) {}
+  ~Ring() {
+    Drain([](T&&) {});
+  }
+  Ring(const Ring&) = delete;
+  Ring& operator=(const Ring&) = delete;
 
   /// \param item Moved from only when there was room.
   /// \returns Whether there was room.
@@ -25,16 +32,17 @@
     if (queue_.write_available() == 0) {
       return false;
     }
-    Slot slot{std::move(item)};
-    return queue_.push(slot);
+    return queue_.push(std::make_unique<T>(std::move(item)).release());
   }
 
   /// \brief Hands every item now in the ring to `consume(T&&)`, oldest first.
   /// \returns How many there were.
   template <typename Consume>
   std::size_t Drain(Consume&& consume) {
-    return queue_.consume_all(
-        [&consume](Slot& slot) { consume(std::move(slot.item)); });
+    return queue_.consume_all([&consume](T* held) {
+      const std::unique_ptr<T> item(held);
+      consume(std::move(*item));
+    });
   }
 
   /// \returns Whether the consumer sees no item.
@@ -43,19 +51,8 @@
   }
 
  private:
-  // The queue copies what is pushed; a slot turns that copy into a move.
-  struct Slot {
-    Slot() = default;
-    explicit Slot(T value) : item(std::move(value)) {}
-    Slot(const Slot& other) : item(std::move(other.item)) {}
-    Slot& operator=(const Slot& other) {
-      item = std::move(other.item);
-      return *this;
-    }
-    mutable T item;
-  };
-
-  boost::lockfree::spsc_queue<Slot> queue_;
+  // Owned pointers: the queue copies what is pushed and cannot hold owners.
+  boost::lockfree::spsc_queue<T*> queue_;
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/duties/account_book.h
+++ b/include/mimosagauge/impl/duties/callers/account_book.h
@@ -1,13 +1,13 @@
 // The client accounts of an instance, found by token.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_ACCOUNT_BOOK_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_ACCOUNT_BOOK_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ACCOUNT_BOOK_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ACCOUNT_BOOK_H_
 
 #include <string_view>
 #include <utility>
 #include <vector>
 
-#include "mimosagauge/impl/duties/digest.h"
+#include "mimosagauge/impl/duties/callers/digest.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
@@ -30,4 +30,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_ACCOUNT_BOOK_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ACCOUNT_BOOK_H_
--- a/include/mimosagauge/impl/duties/answer_text.h
+++ b/include/mimosagauge/impl/duties/callers/answer_text.h
@@ -1,7 +1,7 @@
 // Answers to callers as bytes.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_ANSWER_TEXT_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_ANSWER_TEXT_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ANSWER_TEXT_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ANSWER_TEXT_H_
 
 #include <cstdint>
 #include <optional>
@@ -58,4 +58,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_ANSWER_TEXT_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ANSWER_TEXT_H_
--- a/include/mimosagauge/impl/duties/body_budget.h
+++ b/include/mimosagauge/impl/duties/callers/body_budget.h
@@ -1,7 +1,7 @@
 // A bound on the request bodies that are in memory at once.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_BODY_BUDGET_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_BODY_BUDGET_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_BODY_BUDGET_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_BODY_BUDGET_H_
 
 #include <atomic>
 #include <cstddef>
@@ -52,4 +52,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_BODY_BUDGET_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_BODY_BUDGET_H_
--- a/include/mimosagauge/impl/duties/chat_request.h
+++ b/include/mimosagauge/impl/duties/callers/chat_request.h
@@ -1,7 +1,7 @@
 // What the gateway reads from a chat completions request's JSON.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_CHAT_REQUEST_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_CHAT_REQUEST_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_CHAT_REQUEST_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_CHAT_REQUEST_H_
 
 #include <string_view>
 
@@ -25,4 +25,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_CHAT_REQUEST_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_CHAT_REQUEST_H_
--- a/include/mimosagauge/impl/duties/caller_connection.h
+++ b/include/mimosagauge/impl/duties/callers/connection.h
@@ -1,8 +1,8 @@
 // One connection from a caller: reads requests one after the other and
 // writes their answers.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLER_CONNECTION_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_CALLER_CONNECTION_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_CONNECTION_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_CONNECTION_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,9 +16,9 @@
 #include <vector>
 
 #include "mimosagauge/impl/decisions/effects.h"
-#include "mimosagauge/impl/duties/answer_text.h"
-#include "mimosagauge/impl/duties/caller_request.h"
-#include "mimosagauge/impl/duties/growing_body.h"
+#include "mimosagauge/impl/duties/callers/answer_text.h"
+#include "mimosagauge/impl/duties/callers/request.h"
+#include "mimosagauge/impl/duties/common/growing_body.h"
 
 namespace mimosagauge::detail {
 
@@ -122,4 +122,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLER_CONNECTION_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_CONNECTION_H_
--- a/include/mimosagauge/impl/duties/digest.h
+++ b/include/mimosagauge/impl/duties/callers/digest.h
@@ -1,7 +1,7 @@
 // SHA-256 digests and random identifiers.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_DIGEST_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_DIGEST_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_DIGEST_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_DIGEST_H_
 
 #include <array>
 #include <cstddef>
@@ -34,4 +34,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_DIGEST_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_DIGEST_H_
--- a/include/mimosagauge/impl/duties/caller_duty.h
+++ b/include/mimosagauge/impl/duties/callers/duty.h
@@ -1,8 +1,8 @@
 // The duty that talks to callers: HTTP/1.1 in, typed events out; typed
 // effects in, HTTP/1.1 out.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLER_DUTY_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_CALLER_DUTY_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_DUTY_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_DUTY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
@@ -59,4 +59,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLER_DUTY_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_DUTY_H_
--- a/include/mimosagauge/impl/duties/entry_document.h
+++ b/include/mimosagauge/impl/duties/callers/entry_document.h
@@ -1,8 +1,8 @@
 // What an instance answers itself: its health, its metrics and the instances
 // that callers should use.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_ENTRY_DOCUMENT_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_ENTRY_DOCUMENT_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ENTRY_DOCUMENT_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ENTRY_DOCUMENT_H_
 
 #include <cstdint>
 #include <span>
@@ -10,7 +10,7 @@
 
 #include "mimosagauge/impl/decisions/once/fingerprint.h"
 #include "mimosagauge/impl/decisions/view.h"
-#include "mimosagauge/impl/duties/caller_request.h"
+#include "mimosagauge/impl/duties/callers/request.h"
 
 namespace mimosagauge {
 
@@ -36,4 +36,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_ENTRY_DOCUMENT_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_ENTRY_DOCUMENT_H_
--- a/include/mimosagauge/impl/duties/caller_problems.h
+++ b/include/mimosagauge/impl/duties/callers/problems.h
@@ -1,7 +1,7 @@
 // The problem documents that the duty towards callers makes itself.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLER_PROBLEMS_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_CALLER_PROBLEMS_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_PROBLEMS_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_PROBLEMS_H_
 
 #include <cstdint>
 #include <string>
@@ -44,4 +44,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLER_PROBLEMS_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_PROBLEMS_H_
--- a/include/mimosagauge/impl/duties/raw_header.h
+++ b/include/mimosagauge/impl/duties/callers/raw_header.h
@@ -1,8 +1,8 @@
 // Checks on the bytes of an HTTP/1.1 request header before it is parsed, so
 // that no two parsers on the way can read it differently.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_RAW_HEADER_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_RAW_HEADER_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_RAW_HEADER_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_RAW_HEADER_H_
 
 #include <cstddef>
 #include <optional>
@@ -39,4 +39,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_RAW_HEADER_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_RAW_HEADER_H_
--- a/include/mimosagauge/impl/duties/caller_request.h
+++ b/include/mimosagauge/impl/duties/callers/request.h
@@ -1,7 +1,7 @@
 // From a parsed HTTP request to the request that the decisions see.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLER_REQUEST_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_CALLER_REQUEST_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_REQUEST_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_REQUEST_H_
 
 #include <boost/beast/http/message.hpp>
 #include <optional>
@@ -9,7 +9,7 @@
 #include <variant>
 
 #include "mimosagauge/impl/decisions/request.h"
-#include "mimosagauge/impl/duties/account_book.h"
+#include "mimosagauge/impl/duties/callers/account_book.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
@@ -46,4 +46,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLER_REQUEST_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_REQUEST_H_
--- a/include/mimosagauge/impl/duties/caller_server.h
+++ b/include/mimosagauge/impl/duties/callers/server.h
@@ -1,7 +1,7 @@
 // The table of a caller duty: its connections and the requests in progress.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLER_SERVER_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_CALLER_SERVER_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_CALLERS_SERVER_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_CALLERS_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,9 +18,9 @@
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
 #include "mimosagauge/impl/decisions/once/fingerprint.h"
-#include "mimosagauge/impl/duties/account_book.h"
-#include "mimosagauge/impl/duties/body_budget.h"
-#include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/callers/account_book.h"
+#include "mimosagauge/impl/duties/callers/body_budget.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge::detail {
@@ -104,4 +104,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLER_SERVER_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_CALLERS_SERVER_H_
--- a/include/mimosagauge/impl/duties/growing_body.h
+++ b/include/mimosagauge/impl/duties/common/growing_body.h
@@ -1,7 +1,7 @@
 // A Beast body that grows with what arrives, whatever length was announced.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_GROWING_BODY_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_GROWING_BODY_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_COMMON_GROWING_BODY_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_COMMON_GROWING_BODY_H_
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/error.hpp>
@@ -53,4 +53,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_GROWING_BODY_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_COMMON_GROWING_BODY_H_
--- a/include/mimosagauge/impl/duties/hash.h
+++ b/include/mimosagauge/impl/duties/common/hash.h
@@ -1,7 +1,7 @@
 // The hash functions that the decisions are handed.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_HASH_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_HASH_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_COMMON_HASH_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_COMMON_HASH_H_
 
 #include <string>
 
@@ -18,4 +18,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_HASH_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_COMMON_HASH_H_
--- a/include/mimosagauge/impl/duties/http_fields.h
+++ b/include/mimosagauge/impl/duties/common/http_fields.h
@@ -1,7 +1,7 @@
 // Which HTTP header fields travel end to end, and which are our own.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_HTTP_FIELDS_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_HTTP_FIELDS_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_COMMON_HTTP_FIELDS_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_COMMON_HTTP_FIELDS_H_
 
 #include <boost/beast/http/fields.hpp>
 #include <string>
@@ -47,4 +47,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_HTTP_FIELDS_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_COMMON_HTTP_FIELDS_H_
--- a/include/mimosagauge/impl/duties/log.h
+++ b/include/mimosagauge/impl/duties/common/log.h
@@ -1,7 +1,7 @@
 // Writing of numbered log events.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_LOG_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_LOG_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_COMMON_LOG_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_COMMON_LOG_H_
 
 #include <initializer_list>
 #include <string>
@@ -39,4 +39,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_LOG_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_COMMON_LOG_H_
--- a/include/mimosagauge/impl/duties/mailbox.h
+++ b/include/mimosagauge/impl/duties/common/mailbox.h
@@ -1,7 +1,7 @@
 // A bounded ring from one duty's thread to another's, with the wake-up.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_MAILBOX_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_MAILBOX_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_COMMON_MAILBOX_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_COMMON_MAILBOX_H_
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -87,4 +87,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_MAILBOX_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_COMMON_MAILBOX_H_
--- a/include/mimosagauge/impl/duties/monotonic_clock.h
+++ b/include/mimosagauge/impl/duties/common/monotonic_clock.h
@@ -1,7 +1,7 @@
 // The one reading of the monotonic clock for the decisions.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_MONOTONIC_CLOCK_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_MONOTONIC_CLOCK_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_COMMON_MONOTONIC_CLOCK_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_COMMON_MONOTONIC_CLOCK_H_
 
 #include <time.h>
 
@@ -22,4 +22,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_MONOTONIC_CLOCK_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_COMMON_MONOTONIC_CLOCK_H_
--- a/include/mimosagauge/impl/duties/decisions_duty.h
+++ b/include/mimosagauge/impl/duties/decisions/duty.h
@@ -8,7 +8,7 @@
 #include <functional>
 
 #include "mimosagauge/impl/decisions/gateway.h"
-#include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
 
 namespace mimosagauge {
 
--- a/include/mimosagauge/impl/duties/link_client.h
+++ b/include/mimosagauge/impl/duties/links/client.h
@@ -1,8 +1,8 @@
 // The dialing side of links: gives requests to other instances and takes
 // their answers.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINK_CLIENT_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_LINK_CLIENT_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINKS_CLIENT_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_LINKS_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -16,8 +16,8 @@
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/link_connection.h"
-#include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
+#include "mimosagauge/impl/duties/links/connection.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
@@ -141,4 +141,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINK_CLIENT_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINKS_CLIENT_H_
--- a/include/mimosagauge/impl/duties/link_connection.h
+++ b/include/mimosagauge/impl/duties/links/connection.h
@@ -1,8 +1,8 @@
 // One connection between two instances, in either role: handshake, greeting,
 // heartbeat, reading and writing of frames.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINK_CONNECTION_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_LINK_CONNECTION_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINKS_CONNECTION_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_LINKS_CONNECTION_H_
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -18,8 +18,8 @@
 
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/time.h"
-#include "mimosagauge/impl/duties/link_queue.h"
-#include "mimosagauge/impl/duties/link_transport.h"
+#include "mimosagauge/impl/duties/links/queue.h"
+#include "mimosagauge/impl/duties/links/transport.h"
 #include "mimosagauge/impl/wire/frame.h"
 #include "mimosagauge/impl/wire/messages.h"
 
@@ -154,4 +154,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINK_CONNECTION_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINKS_CONNECTION_H_
--- a/include/mimosagauge/impl/duties/link_duty.h
+++ b/include/mimosagauge/impl/duties/links/duty.h
@@ -1,7 +1,7 @@
 // The duty that keeps links to other instances.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINK_DUTY_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_LINK_DUTY_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINKS_DUTY_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_LINKS_DUTY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -9,10 +9,10 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/link_client.h"
-#include "mimosagauge/impl/duties/link_connection.h"
-#include "mimosagauge/impl/duties/link_server.h"
-#include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
+#include "mimosagauge/impl/duties/links/client.h"
+#include "mimosagauge/impl/duties/links/connection.h"
+#include "mimosagauge/impl/duties/links/server.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
@@ -66,4 +66,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINK_DUTY_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINKS_DUTY_H_
--- a/include/mimosagauge/impl/duties/link_log.h
+++ b/include/mimosagauge/impl/duties/links/log.h
@@ -1,12 +1,12 @@
 // Log entries about the ends of links.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINK_LOG_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_LINK_LOG_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINKS_LOG_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_LINKS_LOG_H_
 
 #include <string>
 
 #include "mimosagauge/impl/core/error.h"
-#include "mimosagauge/impl/duties/link_connection.h"
+#include "mimosagauge/impl/duties/links/connection.h"
 
 namespace mimosagauge {
 
@@ -16,4 +16,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINK_LOG_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINKS_LOG_H_
--- a/include/mimosagauge/impl/duties/link_queue.h
+++ b/include/mimosagauge/impl/duties/links/queue.h
@@ -1,7 +1,7 @@
 // What waits to be written on one link, fair between its streams.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINK_QUEUE_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_LINK_QUEUE_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINKS_QUEUE_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_LINKS_QUEUE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -85,4 +85,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINK_QUEUE_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINKS_QUEUE_H_
--- a/include/mimosagauge/impl/duties/link_transport.h
+++ b/include/mimosagauge/impl/duties/links/transport.h
@@ -1,8 +1,8 @@
 // The byte stream under a link: TLS 1.3 with certificates on both sides, or
 // plain TCP on loopback addresses.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINK_TRANSPORT_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_LINK_TRANSPORT_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_LINKS_TRANSPORT_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_LINKS_TRANSPORT_H_
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -76,4 +76,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINK_TRANSPORT_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_LINKS_TRANSPORT_H_
--- a/include/mimosagauge/impl/duties/operators_duty.h
+++ b/include/mimosagauge/impl/duties/operators/duty.h
@@ -18,8 +18,8 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/mailbox.h"
-#include "mimosagauge/impl/duties/platform_messages.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
+#include "mimosagauge/impl/duties/store/messages.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
--- a/include/mimosagauge/impl/duties/platform_duty.h
+++ b/include/mimosagauge/impl/duties/store/duty.h
@@ -1,8 +1,8 @@
 // The thread that talks to the platform's key-value service: it learns the
 // rules in force, and carries out the operators' edits of them.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_PLATFORM_DUTY_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_PLATFORM_DUTY_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_STORE_DUTY_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_STORE_DUTY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,11 +16,11 @@
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/mailbox.h"
-#include "mimosagauge/impl/duties/platform_messages.h"
-#include "mimosagauge/impl/platform/rules_record.h"
-#include "mimosagauge/impl/platform/store_client.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
+#include "mimosagauge/impl/duties/store/messages.h"
 #include "mimosagauge/impl/settings/settings.h"
+#include "mimosagauge/impl/store/rules_record.h"
+#include "mimosagauge/impl/store/store_client.h"
 
 namespace mimosagauge {
 
@@ -101,4 +101,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_PLATFORM_DUTY_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_STORE_DUTY_H_
--- a/include/mimosagauge/impl/duties/platform_messages.h
+++ b/include/mimosagauge/impl/duties/store/messages.h
@@ -1,12 +1,12 @@
 // What the operators duty asks of the platform duty, and its answers.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_PLATFORM_MESSAGES_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_PLATFORM_MESSAGES_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_STORE_MESSAGES_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_STORE_MESSAGES_H_
 
 #include <cstdint>
 
 #include "mimosagauge/impl/core/ids.h"
-#include "mimosagauge/impl/platform/rules_change.h"
+#include "mimosagauge/impl/store/rules_change.h"
 
 namespace mimosagauge {
 
@@ -25,4 +25,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_PLATFORM_MESSAGES_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_STORE_MESSAGES_H_
--- a/include/mimosagauge/impl/duties/upstream_attempt.h
+++ b/include/mimosagauge/impl/duties/upstreams/attempt.h
@@ -1,7 +1,7 @@
 // One attempt at an upstream: a request written, an answer read.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_ATTEMPT_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_ATTEMPT_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_ATTEMPT_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_ATTEMPT_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -14,8 +14,8 @@
 #include <string>
 
 #include "mimosagauge/impl/decisions/effects.h"
-#include "mimosagauge/impl/duties/event_stream.h"
-#include "mimosagauge/impl/duties/growing_body.h"
+#include "mimosagauge/impl/duties/common/growing_body.h"
+#include "mimosagauge/impl/duties/upstreams/event_stream.h"
 
 namespace mimosagauge::detail {
 
@@ -98,4 +98,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_ATTEMPT_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_ATTEMPT_H_
--- a/include/mimosagauge/impl/duties/upstream_duty.h
+++ b/include/mimosagauge/impl/duties/upstreams/duty.h
@@ -1,15 +1,15 @@
 // The duty that talks to upstreams: typed effects in, HTTP/1.1 out; HTTP/1.1
 // answers in, typed events out.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_DUTY_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_DUTY_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_DUTY_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_DUTY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
@@ -49,4 +49,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_DUTY_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_DUTY_H_
--- a/include/mimosagauge/impl/duties/event_stream.h
+++ b/include/mimosagauge/impl/duties/upstreams/event_stream.h
@@ -1,7 +1,7 @@
 // Server-sent events cut at their boundaries.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_EVENT_STREAM_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_EVENT_STREAM_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_EVENT_STREAM_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_EVENT_STREAM_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -62,4 +62,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_EVENT_STREAM_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_EVENT_STREAM_H_
--- a/include/mimosagauge/impl/duties/upstream_pool.h
+++ b/include/mimosagauge/impl/duties/upstreams/pool.h
@@ -1,7 +1,7 @@
 // Connections to one upstream that wait for their next request.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_POOL_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_POOL_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_POOL_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_POOL_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
@@ -48,4 +48,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_POOL_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_POOL_H_
--- a/include/mimosagauge/impl/duties/upstream_request_text.h
+++ b/include/mimosagauge/impl/duties/upstreams/request_text.h
@@ -1,7 +1,7 @@
 // Requests to upstreams as bytes.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_REQUEST_TEXT_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_REQUEST_TEXT_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_REQUEST_TEXT_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_REQUEST_TEXT_H_
 
 #include <string>
 
@@ -17,4 +17,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_REQUEST_TEXT_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_REQUEST_TEXT_H_
--- a/include/mimosagauge/impl/duties/upstream_server.h
+++ b/include/mimosagauge/impl/duties/upstreams/server.h
@@ -1,7 +1,7 @@
 // The table of an upstream duty: its pools and the attempts in progress.
 
-#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_SERVER_H_
-#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_SERVER_H_
+#ifndef MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_SERVER_H_
+#define MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,8 +10,8 @@
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/mailbox.h"
-#include "mimosagauge/impl/duties/upstream_pool.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
+#include "mimosagauge/impl/duties/upstreams/pool.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge::detail {
@@ -49,4 +49,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAM_SERVER_H_
+#endif  // MIMOSAGAUGE_IMPL_DUTIES_UPSTREAMS_SERVER_H_
--- a/include/mimosagauge/impl/platform/base64.h
+++ b/include/mimosagauge/impl/store/base64.h
@@ -1,7 +1,7 @@
 // Base64 with the standard alphabet and padding (RFC 4648, section 4).
 
-#ifndef MIMOSAGAUGE_IMPL_PLATFORM_BASE64_H_
-#define MIMOSAGAUGE_IMPL_PLATFORM_BASE64_H_
+#ifndef MIMOSAGAUGE_IMPL_STORE_BASE64_H_
+#define MIMOSAGAUGE_IMPL_STORE_BASE64_H_
 
 #include <optional>
 #include <string>
@@ -17,4 +17,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_PLATFORM_BASE64_H_
+#endif  // MIMOSAGAUGE_IMPL_STORE_BASE64_H_
--- a/include/mimosagauge/impl/platform/rules_change.h
+++ b/include/mimosagauge/impl/store/rules_change.h
@@ -1,8 +1,8 @@
 // Edits of the rules: what one makes of the rules that the store holds now.
 // Pure; the writer in the platform duty carries it out.
 
-#ifndef MIMOSAGAUGE_IMPL_PLATFORM_RULES_CHANGE_H_
-#define MIMOSAGAUGE_IMPL_PLATFORM_RULES_CHANGE_H_
+#ifndef MIMOSAGAUGE_IMPL_STORE_RULES_CHANGE_H_
+#define MIMOSAGAUGE_IMPL_STORE_RULES_CHANGE_H_
 
 #include <cstdint>
 #include <optional>
@@ -12,9 +12,9 @@
 
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
-#include "mimosagauge/impl/platform/rules_record.h"
 #include "mimosagauge/impl/rules/merge.h"
 #include "mimosagauge/impl/rules/rule_set.h"
+#include "mimosagauge/impl/store/rules_record.h"
 
 namespace mimosagauge {
 
@@ -89,4 +89,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_PLATFORM_RULES_CHANGE_H_
+#endif  // MIMOSAGAUGE_IMPL_STORE_RULES_CHANGE_H_
--- a/include/mimosagauge/impl/platform/rules_record.h
+++ b/include/mimosagauge/impl/store/rules_record.h
@@ -2,8 +2,8 @@
 // revision in force and the changes that led to it; the text of each revision
 // has a key of its own and never changes.
 
-#ifndef MIMOSAGAUGE_IMPL_PLATFORM_RULES_RECORD_H_
-#define MIMOSAGAUGE_IMPL_PLATFORM_RULES_RECORD_H_
+#ifndef MIMOSAGAUGE_IMPL_STORE_RULES_RECORD_H_
+#define MIMOSAGAUGE_IMPL_STORE_RULES_RECORD_H_
 
 #include <cstddef>
 #include <string>
@@ -56,4 +56,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_PLATFORM_RULES_RECORD_H_
+#endif  // MIMOSAGAUGE_IMPL_STORE_RULES_RECORD_H_
--- a/include/mimosagauge/impl/platform/rules_writer.h
+++ b/include/mimosagauge/impl/store/rules_writer.h
@@ -1,8 +1,8 @@
 // Carries out one edit of the rules against the store: read, plan, compare
 // and swap, and read back when an answer was lost.
 
-#ifndef MIMOSAGAUGE_IMPL_PLATFORM_RULES_WRITER_H_
-#define MIMOSAGAUGE_IMPL_PLATFORM_RULES_WRITER_H_
+#ifndef MIMOSAGAUGE_IMPL_STORE_RULES_WRITER_H_
+#define MIMOSAGAUGE_IMPL_STORE_RULES_WRITER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
@@ -10,8 +10,8 @@
 #include <memory>
 #include <string>
 
-#include "mimosagauge/impl/platform/rules_change.h"
-#include "mimosagauge/impl/platform/store_client.h"
+#include "mimosagauge/impl/store/rules_change.h"
+#include "mimosagauge/impl/store/store_client.h"
 
 namespace mimosagauge {
 
@@ -35,4 +35,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_PLATFORM_RULES_WRITER_H_
+#endif  // MIMOSAGAUGE_IMPL_STORE_RULES_WRITER_H_
--- a/include/mimosagauge/impl/platform/store.h
+++ b/include/mimosagauge/impl/store/store.h
@@ -1,8 +1,8 @@
 // The platform's key-value service as the rest of the program sees it: keys
 // with values, compare-and-swap transactions, leases and watches.
 
-#ifndef MIMOSAGAUGE_IMPL_PLATFORM_STORE_H_
-#define MIMOSAGAUGE_IMPL_PLATFORM_STORE_H_
+#ifndef MIMOSAGAUGE_IMPL_STORE_STORE_H_
+#define MIMOSAGAUGE_IMPL_STORE_STORE_H_
 
 #include <cstddef>
 #include <optional>
@@ -104,4 +104,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_PLATFORM_STORE_H_
+#endif  // MIMOSAGAUGE_IMPL_STORE_STORE_H_
--- a/include/mimosagauge/impl/platform/store_client.h
+++ b/include/mimosagauge/impl/store/store_client.h
@@ -4,8 +4,8 @@
 // Everything runs on the thread of one io_context. Each call ends in exactly
 // one call of its handler, never from within the function that began it.
 
-#ifndef MIMOSAGAUGE_IMPL_PLATFORM_STORE_CLIENT_H_
-#define MIMOSAGAUGE_IMPL_PLATFORM_STORE_CLIENT_H_
+#ifndef MIMOSAGAUGE_IMPL_STORE_STORE_CLIENT_H_
+#define MIMOSAGAUGE_IMPL_STORE_STORE_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
@@ -17,7 +17,7 @@
 
 #include "mimosagauge/impl/core/endpoint.h"
 #include "mimosagauge/impl/core/error.h"
-#include "mimosagauge/impl/platform/store.h"
+#include "mimosagauge/impl/store/store.h"
 
 namespace mimosagauge {
 
@@ -104,4 +104,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_PLATFORM_STORE_CLIENT_H_
+#endif  // MIMOSAGAUGE_IMPL_STORE_STORE_CLIENT_H_
--- a/include/mimosagauge/impl/platform/store_codec.h
+++ b/include/mimosagauge/impl/store/store_codec.h
@@ -1,14 +1,14 @@
 // The JSON that the key-value service speaks: etcd v3's JSON mapping. Pure
 // functions between typed calls and texts; nothing here does I/O.
 
-#ifndef MIMOSAGAUGE_IMPL_PLATFORM_STORE_CODEC_H_
-#define MIMOSAGAUGE_IMPL_PLATFORM_STORE_CODEC_H_
+#ifndef MIMOSAGAUGE_IMPL_STORE_STORE_CODEC_H_
+#define MIMOSAGAUGE_IMPL_STORE_STORE_CODEC_H_
 
 #include <string>
 #include <string_view>
 
 #include "mimosagauge/impl/core/error.h"
-#include "mimosagauge/impl/platform/store.h"
+#include "mimosagauge/impl/store/store.h"
 
 namespace mimosagauge {
 
@@ -48,4 +48,4 @@
 
 }  // namespace mimosagauge
 
-#endif  // MIMOSAGAUGE_IMPL_PLATFORM_STORE_CODEC_H_
+#endif  // MIMOSAGAUGE_IMPL_STORE_STORE_CODEC_H_
--- a/src/commands/serve.cc
+++ b/src/commands/serve.cc
@@ -9,8 +9,8 @@
 
 #include "mimosagauge/impl/app/arguments.h"
 #include "mimosagauge/impl/app/subcommands.h"
+#include "mimosagauge/impl/duties/common/log.h"
 #include "mimosagauge/impl/duties/instance.h"
-#include "mimosagauge/impl/duties/log.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
--- a/src/duties/account_book.cc
+++ b/src/duties/callers/account_book.cc
@@ -1,10 +1,10 @@
 // Search for accounts by the digest of their tokens.
 
-#include "mimosagauge/impl/duties/account_book.h"
+#include "mimosagauge/impl/duties/callers/account_book.h"
 
 #include <openssl/crypto.h>
 
-#include "mimosagauge/impl/duties/http_fields.h"
+#include "mimosagauge/impl/duties/common/http_fields.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/answer_text.cc
+++ b/src/duties/callers/answer_text.cc
@@ -1,6 +1,6 @@
 // Encoding of answers by Boost.Beast.
 
-#include "mimosagauge/impl/duties/answer_text.h"
+#include "mimosagauge/impl/duties/callers/answer_text.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -14,8 +14,8 @@
 #include <chrono>
 #include <utility>
 
-#include "mimosagauge/impl/duties/caller_problems.h"
-#include "mimosagauge/impl/duties/http_fields.h"
+#include "mimosagauge/impl/duties/callers/problems.h"
+#include "mimosagauge/impl/duties/common/http_fields.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/duties/chat_request.cc
+++ b/src/duties/callers/chat_request.cc
@@ -1,6 +1,6 @@
 // A SAX reader that keeps three top-level members and counts depth.
 
-#include "mimosagauge/impl/duties/chat_request.h"
+#include "mimosagauge/impl/duties/callers/chat_request.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/duties/caller_connection.cc
+++ b/src/duties/callers/connection.cc
@@ -1,6 +1,6 @@
 // Reading and writing on one caller's connection.
 
-#include "mimosagauge/impl/duties/caller_connection.h"
+#include "mimosagauge/impl/duties/callers/connection.h"
 
 #include <algorithm>
 #include <array>
@@ -13,12 +13,12 @@
 #include <variant>
 
 #include "mimosagauge/impl/core/log_catalogue.h"
-#include "mimosagauge/impl/duties/caller_problems.h"
-#include "mimosagauge/impl/duties/caller_server.h"
-#include "mimosagauge/impl/duties/entry_document.h"
-#include "mimosagauge/impl/duties/http_fields.h"
-#include "mimosagauge/impl/duties/log.h"
-#include "mimosagauge/impl/duties/raw_header.h"
+#include "mimosagauge/impl/duties/callers/entry_document.h"
+#include "mimosagauge/impl/duties/callers/problems.h"
+#include "mimosagauge/impl/duties/callers/raw_header.h"
+#include "mimosagauge/impl/duties/callers/server.h"
+#include "mimosagauge/impl/duties/common/http_fields.h"
+#include "mimosagauge/impl/duties/common/log.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/duties/digest.cc
+++ b/src/duties/callers/digest.cc
@@ -1,6 +1,6 @@
 // Digests and random identifiers by OpenSSL.
 
-#include "mimosagauge/impl/duties/digest.h"
+#include "mimosagauge/impl/duties/callers/digest.h"
 
 #include <openssl/evp.h>
 #include <openssl/rand.h>
--- a/src/duties/caller_duty.cc
+++ b/src/duties/callers/duty.cc
@@ -1,10 +1,10 @@
 // The face of the duty towards callers.
 
-#include "mimosagauge/impl/duties/caller_duty.h"
+#include "mimosagauge/impl/duties/callers/duty.h"
 
 #include <utility>
 
-#include "mimosagauge/impl/duties/caller_server.h"
+#include "mimosagauge/impl/duties/callers/server.h"
 
 namespace mimosagauge {
 
--- a/src/duties/entry_document.cc
+++ b/src/duties/callers/entry_document.cc
@@ -1,11 +1,11 @@
 // The instance's own resources.
 
-#include "mimosagauge/impl/duties/entry_document.h"
+#include "mimosagauge/impl/duties/callers/entry_document.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
 
-#include "mimosagauge/impl/duties/caller_problems.h"
+#include "mimosagauge/impl/duties/callers/problems.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/caller_problems.cc
+++ b/src/duties/callers/problems.cc
@@ -1,6 +1,6 @@
 // Problem documents.
 
-#include "mimosagauge/impl/duties/caller_problems.h"
+#include "mimosagauge/impl/duties/callers/problems.h"
 
 #include <boost/beast/http/status.hpp>
 #include <chrono>
--- a/src/duties/raw_header.cc
+++ b/src/duties/callers/raw_header.cc
@@ -1,14 +1,14 @@
 // Checks on request headers as bytes.
 
-#include "mimosagauge/impl/duties/raw_header.h"
+#include "mimosagauge/impl/duties/callers/raw_header.h"
 
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <string>
 
-#include "mimosagauge/impl/duties/caller_problems.h"
-#include "mimosagauge/impl/duties/http_fields.h"
+#include "mimosagauge/impl/duties/callers/problems.h"
+#include "mimosagauge/impl/duties/common/http_fields.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/caller_request.cc
+++ b/src/duties/callers/request.cc
@@ -1,6 +1,6 @@
 // Reading of callers' requests.
 
-#include "mimosagauge/impl/duties/caller_request.h"
+#include "mimosagauge/impl/duties/callers/request.h"
 
 #include <algorithm>
 #include <array>
@@ -11,11 +11,11 @@
 #include <string_view>
 #include <utility>
 
-#include "mimosagauge/impl/duties/caller_problems.h"
-#include "mimosagauge/impl/duties/chat_request.h"
-#include "mimosagauge/impl/duties/digest.h"
-#include "mimosagauge/impl/duties/http_fields.h"
-#include "mimosagauge/impl/duties/raw_header.h"
+#include "mimosagauge/impl/duties/callers/chat_request.h"
+#include "mimosagauge/impl/duties/callers/digest.h"
+#include "mimosagauge/impl/duties/callers/problems.h"
+#include "mimosagauge/impl/duties/callers/raw_header.h"
+#include "mimosagauge/impl/duties/common/http_fields.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/caller_server.cc
+++ b/src/duties/callers/server.cc
@@ -1,6 +1,6 @@
 // Listening for callers, and the requests in progress.
 
-#include "mimosagauge/impl/duties/caller_server.h"
+#include "mimosagauge/impl/duties/callers/server.h"
 
 #include <sys/resource.h>
 
@@ -12,10 +12,10 @@
 #include <utility>
 
 #include "mimosagauge/impl/core/log_catalogue.h"
-#include "mimosagauge/impl/duties/caller_connection.h"
-#include "mimosagauge/impl/duties/caller_problems.h"
-#include "mimosagauge/impl/duties/hash.h"
-#include "mimosagauge/impl/duties/log.h"
+#include "mimosagauge/impl/duties/callers/connection.h"
+#include "mimosagauge/impl/duties/callers/problems.h"
+#include "mimosagauge/impl/duties/common/hash.h"
+#include "mimosagauge/impl/duties/common/log.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/duties/hash.cc
+++ b/src/duties/common/hash.cc
@@ -1,6 +1,6 @@
 // SHA-256 and HMAC by OpenSSL.
 
-#include "mimosagauge/impl/duties/hash.h"
+#include "mimosagauge/impl/duties/common/hash.h"
 
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
--- a/src/duties/http_fields.cc
+++ b/src/duties/common/http_fields.cc
@@ -1,6 +1,6 @@
 // Selection of HTTP header fields.
 
-#include "mimosagauge/impl/duties/http_fields.h"
+#include "mimosagauge/impl/duties/common/http_fields.h"
 
 #include <algorithm>
 #include <array>
--- a/src/duties/log.cc
+++ b/src/duties/common/log.cc
@@ -1,6 +1,6 @@
 // The log duty: spdlog's asynchronous logger, one JSON object a line.
 
-#include "mimosagauge/impl/duties/log.h"
+#include "mimosagauge/impl/duties/common/log.h"
 
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
--- a/src/duties/decisions_duty.cc
+++ b/src/duties/decisions/duty.cc
@@ -1,12 +1,12 @@
 // Carries events into the gateway state machine and its effects out.
 
-#include "mimosagauge/impl/duties/decisions_duty.h"
+#include "mimosagauge/impl/duties/decisions/duty.h"
 
 #include <utility>
 #include <variant>
 
-#include "mimosagauge/impl/duties/log.h"
-#include "mimosagauge/impl/duties/monotonic_clock.h"
+#include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/common/monotonic_clock.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -17,16 +17,16 @@
 #include <thread>
 #include <utility>
 
-#include "mimosagauge/impl/duties/caller_duty.h"
-#include "mimosagauge/impl/duties/decisions_duty.h"
-#include "mimosagauge/impl/duties/hash.h"
-#include "mimosagauge/impl/duties/link_duty.h"
-#include "mimosagauge/impl/duties/log.h"
-#include "mimosagauge/impl/duties/mailbox.h"
-#include "mimosagauge/impl/duties/monotonic_clock.h"
-#include "mimosagauge/impl/duties/operators_duty.h"
-#include "mimosagauge/impl/duties/platform_duty.h"
-#include "mimosagauge/impl/duties/upstream_duty.h"
+#include "mimosagauge/impl/duties/callers/duty.h"
+#include "mimosagauge/impl/duties/common/hash.h"
+#include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
+#include "mimosagauge/impl/duties/common/monotonic_clock.h"
+#include "mimosagauge/impl/duties/decisions/duty.h"
+#include "mimosagauge/impl/duties/links/duty.h"
+#include "mimosagauge/impl/duties/operators/duty.h"
+#include "mimosagauge/impl/duties/store/duty.h"
+#include "mimosagauge/impl/duties/upstreams/duty.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/link_client.cc
+++ b/src/duties/links/client.cc
@@ -1,6 +1,6 @@
 // The dialing side of links.
 
-#include "mimosagauge/impl/duties/link_client.h"
+#include "mimosagauge/impl/duties/links/client.h"
 
 #include <fmt/format.h>
 
@@ -9,8 +9,8 @@
 #include <utility>
 #include <variant>
 
-#include "mimosagauge/impl/duties/link_log.h"
-#include "mimosagauge/impl/duties/log.h"
+#include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/links/log.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/link_connection.cc
+++ b/src/duties/links/connection.cc
@@ -1,6 +1,6 @@
 // One connection between two instances.
 
-#include "mimosagauge/impl/duties/link_connection.h"
+#include "mimosagauge/impl/duties/links/connection.h"
 
 #include <fmt/format.h>
 
--- a/src/duties/link_duty.cc
+++ b/src/duties/links/duty.cc
@@ -1,6 +1,6 @@
 // The duty that keeps links to other instances.
 
-#include "mimosagauge/impl/duties/link_duty.h"
+#include "mimosagauge/impl/duties/links/duty.h"
 
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 #include <utility>
 #include <variant>
 
-#include "mimosagauge/impl/duties/log.h"
+#include "mimosagauge/impl/duties/common/log.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/link_log.cc
+++ b/src/duties/links/log.cc
@@ -1,8 +1,8 @@
 // Log entries about the ends of links.
 
-#include "mimosagauge/impl/duties/link_log.h"
+#include "mimosagauge/impl/duties/links/log.h"
 
-#include "mimosagauge/impl/duties/log.h"
+#include "mimosagauge/impl/duties/common/log.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/link_queue.cc
+++ b/src/duties/links/queue.cc
@@ -1,6 +1,6 @@
 // What waits to be written on one link.
 
-#include "mimosagauge/impl/duties/link_queue.h"
+#include "mimosagauge/impl/duties/links/queue.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/duties/link_server.cc
+++ b/src/duties/links/server.cc
@@ -1,6 +1,6 @@
 // The accepting side of links.
 
-#include "mimosagauge/impl/duties/link_server.h"
+#include "mimosagauge/impl/duties/links/server.h"
 
 #include <fmt/format.h>
 
@@ -9,8 +9,8 @@
 #include <utility>
 #include <variant>
 
-#include "mimosagauge/impl/duties/link_log.h"
-#include "mimosagauge/impl/duties/log.h"
+#include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/links/log.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/link_transport.cc
+++ b/src/duties/links/transport.cc
@@ -1,6 +1,6 @@
 // The byte stream under a link.
 
-#include "mimosagauge/impl/duties/link_transport.h"
+#include "mimosagauge/impl/duties/links/transport.h"
 
 #include <fmt/format.h>
 #include <netinet/in.h>
--- a/src/duties/operators_documents.cc
+++ b/src/duties/operators/documents.cc
@@ -1,6 +1,6 @@
 // Documents of the operators' API.
 
-#include "operators_documents.h"
+#include "documents.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/duties/operators_documents.h
+++ b/src/duties/operators/documents.h
@@ -7,9 +7,9 @@
 
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/decisions/view.h"
-#include "mimosagauge/impl/duties/operators_duty.h"
-#include "mimosagauge/impl/platform/rules_change.h"
+#include "mimosagauge/impl/duties/operators/duty.h"
 #include "mimosagauge/impl/settings/settings.h"
+#include "mimosagauge/impl/store/rules_change.h"
 
 namespace mimosagauge::detail {
 
--- a/src/duties/operators_duty.cc
+++ b/src/duties/operators/duty.cc
@@ -1,11 +1,11 @@
 // Routes of the operators' API.
 
-#include "mimosagauge/impl/duties/operators_duty.h"
+#include "mimosagauge/impl/duties/operators/duty.h"
 
 #include <utility>
 
-#include "operators_documents.h"
-#include "operators_server.h"
+#include "documents.h"
+#include "server.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/duties/operators_server.cc
+++ b/src/duties/operators/server.cc
@@ -1,6 +1,6 @@
 // Sessions of the operators' address.
 
-#include "operators_server.h"
+#include "server.h"
 
 #include <openssl/crypto.h>
 
@@ -13,8 +13,8 @@
 #include <optional>
 #include <utility>
 
-#include "mimosagauge/impl/duties/log.h"
-#include "operators_documents.h"
+#include "documents.h"
+#include "mimosagauge/impl/duties/common/log.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/duties/operators_server.h
+++ b/src/duties/operators/server.h
@@ -14,7 +14,7 @@
 
 #include "mimosagauge/impl/core/endpoint.h"
 #include "mimosagauge/impl/core/error.h"
-#include "mimosagauge/impl/duties/operators_duty.h"
+#include "mimosagauge/impl/duties/operators/duty.h"
 
 namespace mimosagauge::detail {
 
--- a/src/duties/platform_duty.cc
+++ b/src/duties/store/duty.cc
@@ -1,6 +1,6 @@
 // Reading, watching and editing of the rules in the store.
 
-#include "mimosagauge/impl/duties/platform_duty.h"
+#include "mimosagauge/impl/duties/store/duty.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -8,8 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include "mimosagauge/impl/duties/log.h"
-#include "mimosagauge/impl/platform/rules_writer.h"
+#include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/store/rules_writer.h"
 #include "mimosagauge/impl/wire/once_codec.h"
 
 namespace mimosagauge {
--- a/src/duties/upstream_attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -1,6 +1,6 @@
 // The exchange of one request and its answer.
 
-#include "mimosagauge/impl/duties/upstream_attempt.h"
+#include "mimosagauge/impl/duties/upstreams/attempt.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -15,11 +15,11 @@
 #include <utility>
 
 #include "mimosagauge/impl/core/log_catalogue.h"
-#include "mimosagauge/impl/duties/http_fields.h"
-#include "mimosagauge/impl/duties/log.h"
-#include "mimosagauge/impl/duties/upstream_pool.h"
-#include "mimosagauge/impl/duties/upstream_request_text.h"
-#include "mimosagauge/impl/duties/upstream_server.h"
+#include "mimosagauge/impl/duties/common/http_fields.h"
+#include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/upstreams/pool.h"
+#include "mimosagauge/impl/duties/upstreams/request_text.h"
+#include "mimosagauge/impl/duties/upstreams/server.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/duties/upstream_duty.cc
+++ b/src/duties/upstreams/duty.cc
@@ -1,10 +1,10 @@
 // The face of the duty towards upstreams.
 
-#include "mimosagauge/impl/duties/upstream_duty.h"
+#include "mimosagauge/impl/duties/upstreams/duty.h"
 
 #include <utility>
 
-#include "mimosagauge/impl/duties/upstream_server.h"
+#include "mimosagauge/impl/duties/upstreams/server.h"
 
 namespace mimosagauge {
 
--- a/src/duties/event_stream.cc
+++ b/src/duties/upstreams/event_stream.cc
@@ -1,6 +1,6 @@
 // Line by line reading of server-sent events.
 
-#include "mimosagauge/impl/duties/event_stream.h"
+#include "mimosagauge/impl/duties/upstreams/event_stream.h"
 
 #include <utility>
 
--- a/src/duties/upstream_pool.cc
+++ b/src/duties/upstreams/pool.cc
@@ -1,6 +1,6 @@
 // Keeping of idle connections.
 
-#include "mimosagauge/impl/duties/upstream_pool.h"
+#include "mimosagauge/impl/duties/upstreams/pool.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
--- a/src/duties/upstream_request_text.cc
+++ b/src/duties/upstreams/request_text.cc
@@ -1,6 +1,6 @@
 // Encoding of requests to upstreams by Boost.Beast.
 
-#include "mimosagauge/impl/duties/upstream_request_text.h"
+#include "mimosagauge/impl/duties/upstreams/request_text.h"
 
 #include <algorithm>
 #include <boost/beast/core/buffers_range.hpp>
@@ -10,7 +10,7 @@
 #include <chrono>
 #include <string_view>
 
-#include "mimosagauge/impl/duties/http_fields.h"
+#include "mimosagauge/impl/duties/common/http_fields.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/duties/upstream_server.cc
+++ b/src/duties/upstreams/server.cc
@@ -1,6 +1,6 @@
 // Attempts and pools by name.
 
-#include "mimosagauge/impl/duties/upstream_server.h"
+#include "mimosagauge/impl/duties/upstreams/server.h"
 
 #include <algorithm>
 #include <chrono>
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "mimosagauge/impl/duties/upstream_attempt.h"
+#include "mimosagauge/impl/duties/upstreams/attempt.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/platform/backoff.h
+++ b/src/store/backoff.h
@@ -1,7 +1,7 @@
 // Growing waits between tries, with jitter.
 
-#ifndef MIMOSAGAUGE_SRC_PLATFORM_BACKOFF_H_
-#define MIMOSAGAUGE_SRC_PLATFORM_BACKOFF_H_
+#ifndef MIMOSAGAUGE_SRC_STORE_BACKOFF_H_
+#define MIMOSAGAUGE_SRC_STORE_BACKOFF_H_
 
 #include <algorithm>
 #include <random>
@@ -37,4 +37,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_SRC_PLATFORM_BACKOFF_H_
+#endif  // MIMOSAGAUGE_SRC_STORE_BACKOFF_H_
--- a/src/platform/base64.cc
+++ b/src/store/base64.cc
@@ -1,6 +1,6 @@
 // Base64, three bytes to four characters at a time.
 
-#include "mimosagauge/impl/platform/base64.h"
+#include "mimosagauge/impl/store/base64.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/platform/rules_change.cc
+++ b/src/store/rules_change.cc
@@ -1,6 +1,6 @@
 // What an edit makes of the rules in the store.
 
-#include "mimosagauge/impl/platform/rules_change.h"
+#include "mimosagauge/impl/store/rules_change.h"
 
 #include <fmt/format.h>
 
--- a/src/platform/rules_record.cc
+++ b/src/store/rules_record.cc
@@ -1,6 +1,6 @@
 // The head of the rules as JSON.
 
-#include "mimosagauge/impl/platform/rules_record.h"
+#include "mimosagauge/impl/store/rules_record.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
--- a/src/platform/rules_writer.cc
+++ b/src/store/rules_writer.cc
@@ -1,7 +1,7 @@
 // The loop of one edit. It ends accepted, refused, or, at its deadline, with
 // what is known then.
 
-#include "mimosagauge/impl/platform/rules_writer.h"
+#include "mimosagauge/impl/store/rules_writer.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
--- a/src/platform/store_call.cc
+++ b/src/store/store_call.cc
@@ -10,7 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-#include "mimosagauge/impl/platform/store_codec.h"
+#include "mimosagauge/impl/store/store_codec.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/platform/store_call.h
+++ b/src/store/store_call.h
@@ -1,7 +1,7 @@
 // One call of the key-value service, with its tries.
 
-#ifndef MIMOSAGAUGE_SRC_PLATFORM_STORE_CALL_H_
-#define MIMOSAGAUGE_SRC_PLATFORM_STORE_CALL_H_
+#ifndef MIMOSAGAUGE_SRC_STORE_STORE_CALL_H_
+#define MIMOSAGAUGE_SRC_STORE_STORE_CALL_H_
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -62,4 +62,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_SRC_PLATFORM_STORE_CALL_H_
+#endif  // MIMOSAGAUGE_SRC_STORE_STORE_CALL_H_
--- a/src/platform/store_client.cc
+++ b/src/store/store_client.cc
@@ -1,11 +1,11 @@
 // Typed calls over the connections.
 
-#include "mimosagauge/impl/platform/store_client.h"
+#include "mimosagauge/impl/store/store_client.h"
 
 #include <string>
 #include <utility>
 
-#include "mimosagauge/impl/platform/store_codec.h"
+#include "mimosagauge/impl/store/store_codec.h"
 #include "store_connections.h"
 #include "store_watch_loop.h"
 
--- a/src/platform/store_codec.cc
+++ b/src/store/store_codec.cc
@@ -1,7 +1,7 @@
 // etcd v3's JSON mapping: keys and values in Base64, 64-bit numbers as
 // strings, fields with default values left out.
 
-#include "mimosagauge/impl/platform/store_codec.h"
+#include "mimosagauge/impl/store/store_codec.h"
 
 #include <fmt/format.h>
 
@@ -12,7 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "mimosagauge/impl/platform/base64.h"
+#include "mimosagauge/impl/store/base64.h"
 
 namespace mimosagauge {
 namespace {
--- a/src/platform/store_connections.h
+++ b/src/store/store_connections.h
@@ -1,7 +1,7 @@
 // Connections to the key-value service and the calls that use them.
 
-#ifndef MIMOSAGAUGE_SRC_PLATFORM_STORE_CONNECTIONS_H_
-#define MIMOSAGAUGE_SRC_PLATFORM_STORE_CONNECTIONS_H_
+#ifndef MIMOSAGAUGE_SRC_STORE_STORE_CONNECTIONS_H_
+#define MIMOSAGAUGE_SRC_STORE_STORE_CONNECTIONS_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/core/error.h"
-#include "mimosagauge/impl/platform/store_client.h"
+#include "mimosagauge/impl/store/store_client.h"
 
 namespace mimosagauge::detail {
 
@@ -84,4 +84,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_SRC_PLATFORM_STORE_CONNECTIONS_H_
+#endif  // MIMOSAGAUGE_SRC_STORE_STORE_CONNECTIONS_H_
--- a/src/platform/store_watch_loop.cc
+++ b/src/store/store_watch_loop.cc
@@ -5,7 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <utility>
 
-#include "mimosagauge/impl/platform/store_codec.h"
+#include "mimosagauge/impl/store/store_codec.h"
 
 namespace mimosagauge::detail {
 namespace {
--- a/src/platform/store_watch_loop.h
+++ b/src/store/store_watch_loop.h
@@ -1,7 +1,7 @@
 // A watch of the key-value service that reconnects until it is stopped.
 
-#ifndef MIMOSAGAUGE_SRC_PLATFORM_STORE_WATCH_LOOP_H_
-#define MIMOSAGAUGE_SRC_PLATFORM_STORE_WATCH_LOOP_H_
+#ifndef MIMOSAGAUGE_SRC_STORE_STORE_WATCH_LOOP_H_
+#define MIMOSAGAUGE_SRC_STORE_STORE_WATCH_LOOP_H_
 
 #include <array>
 #include <boost/asio/steady_timer.hpp>
@@ -69,4 +69,4 @@
 
 }  // namespace mimosagauge::detail
 
-#endif  // MIMOSAGAUGE_SRC_PLATFORM_STORE_WATCH_LOOP_H_
+#endif  // MIMOSAGAUGE_SRC_STORE_STORE_WATCH_LOOP_H_
--- a/tests/support/link_peer.h
+++ b/tests/support/link_peer.h
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-#include "mimosagauge/impl/duties/link_duty.h"
+#include "mimosagauge/impl/duties/links/duty.h"
 #include "tests/support/wait.h"
 
 namespace mimosagauge::testing {
--- a/tests/support/pass_through.h
+++ b/tests/support/pass_through.h
@@ -19,9 +19,9 @@
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
-#include "mimosagauge/impl/duties/caller_duty.h"
-#include "mimosagauge/impl/duties/mailbox.h"
-#include "mimosagauge/impl/duties/upstream_duty.h"
+#include "mimosagauge/impl/duties/callers/duty.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
+#include "mimosagauge/impl/duties/upstreams/duty.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge::testing {
--- a/tests/support/session.cc
+++ b/tests/support/session.cc
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "mimosagauge/impl/duties/hash.h"
+#include "mimosagauge/impl/duties/common/hash.h"
 
 namespace mimosagauge::testing {
 namespace {
--- a/tests/support/standin_record.cc
+++ b/tests/support/standin_record.cc
@@ -4,7 +4,7 @@
 
 #include <string_view>
 
-#include "mimosagauge/impl/duties/digest.h"
+#include "mimosagauge/impl/duties/callers/digest.h"
 
 namespace mimosagauge::testing {
 namespace {
--- a/tests/support/store_state.cc
+++ b/tests/support/store_state.cc
@@ -5,7 +5,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "mimosagauge/impl/platform/base64.h"
+#include "mimosagauge/impl/store/base64.h"
 
 namespace mimosagauge::testing {
 namespace {
--- a/tests/unit/mailbox_keeps_order_test.cc
+++ b/tests/unit/mailbox_keeps_order_test.cc
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "mimosagauge/impl/duties/mailbox.h"
+#include "mimosagauge/impl/duties/common/mailbox.h"
 
 namespace mimosagauge {
 namespace {
--- a/tests/unit/once_ticket_test.cc
+++ b/tests/unit/once_ticket_test.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/decisions/once/ticket.h"
-#include "mimosagauge/impl/duties/hash.h"
+#include "mimosagauge/impl/duties/common/hash.h"
 
 namespace mimosagauge {
 namespace {
--- a/tests/unit/operators_api_test.cc
+++ b/tests/unit/operators_api_test.cc
@@ -25,8 +25,8 @@
 
 #include "mimosagauge/impl/app/operator_commands.h"
 #include "mimosagauge/impl/app/subcommands.h"
-#include "mimosagauge/impl/duties/operators_duty.h"
-#include "mimosagauge/impl/duties/platform_duty.h"
+#include "mimosagauge/impl/duties/operators/duty.h"
+#include "mimosagauge/impl/duties/store/duty.h"
 #include "mimosagauge/impl/queries/live.h"
 #include "mimosagauge/impl/queries/operators_client.h"
 #include "tests/support/running_store.h"
--- a/tests/unit/rules_change_test.cc
+++ b/tests/unit/rules_change_test.cc
@@ -1,6 +1,6 @@
 // What an edit makes of the rules that the store holds.
 
-#include "mimosagauge/impl/platform/rules_change.h"
+#include "mimosagauge/impl/store/rules_change.h"
 
 #include <catch2/catch.hpp>
 #include <optional>
--- a/tests/unit/rules_in_force_test.cc
+++ b/tests/unit/rules_in_force_test.cc
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "mimosagauge/impl/duties/platform_duty.h"
-#include "mimosagauge/impl/platform/base64.h"
+#include "mimosagauge/impl/duties/store/duty.h"
+#include "mimosagauge/impl/store/base64.h"
 #include "tests/support/running_store.h"
 #include "tests/support/wait.h"
 
--- a/tests/unit/rules_reach_upstreams_test.cc
+++ b/tests/unit/rules_reach_upstreams_test.cc
@@ -12,7 +12,7 @@
 #include <tuple>
 #include <variant>
 
-#include "mimosagauge/impl/duties/caller_request.h"
+#include "mimosagauge/impl/duties/callers/request.h"
 #include "tests/support/session.h"
 
 namespace mimosagauge::testing {
--- a/tests/unit/store_client_faults_test.cc
+++ b/tests/unit/store_client_faults_test.cc
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "mimosagauge/impl/platform/base64.h"
-#include "mimosagauge/impl/platform/store_client.h"
+#include "mimosagauge/impl/store/base64.h"
+#include "mimosagauge/impl/store/store_client.h"
 #include "tests/support/running_store.h"
 #include "tests/support/wait.h"
 
--- a/tests/unit/store_codec_test.cc
+++ b/tests/unit/store_codec_test.cc
@@ -1,13 +1,13 @@
 // The codec of the key-value service: what is sent to the letter, and what is
 // read from answers, also malformed ones.
 
-#include "mimosagauge/impl/platform/store_codec.h"
+#include "mimosagauge/impl/store/store_codec.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
 
-#include "mimosagauge/impl/platform/base64.h"
+#include "mimosagauge/impl/store/base64.h"
 
 namespace mimosagauge {
 namespace {
