--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -181,11 +181,13 @@
   UpstreamNeed need{record.verdict.service, record.arrival.head->model, false,
                     record.passed};
   if (!CanServe(turn.gateway.upstreams, need, turn.gateway.config.region,
-                turn.now) ||
-      !MayRetry(turn, record, RunState::kRan, true)) {
+                turn.now)) {
     return false;
   }
   ++record.runs;
+  if (!MayRetry(turn, record, RunState::kRan, true)) {
+    return false;
+  }
   const AttemptNumber number = record.running->number;
   turn.effects.emplace_back(ForUpstreams{CancelAttempt{number}});
   FinishAttempt(turn, record,
