--- a/include/mimosagauge/impl/store/store.h
+++ b/include/mimosagauge/impl/store/store.h
@@ -39,7 +39,7 @@
 struct StoreRange {
   std::string key;
   bool prefix = false;
-  std::string after;  ///< Only keys behind this one; empty: all.
+  std::string after{};  ///< Only keys behind this one; empty: all.
 };
 
 /// \brief What a read found.
--- a/include/mimosagauge/impl/wire/frame.h
+++ b/include/mimosagauge/impl/wire/frame.h
@@ -21,7 +21,7 @@
 
 /// Oldest and newest version of the peer protocol that this program speaks.
 inline constexpr std::uint8_t kMinProtocolVersion = 1;
-inline constexpr std::uint8_t kMaxProtocolVersion = 2;
+inline constexpr std::uint8_t kMaxProtocolVersion = 3;
 /// Hello frames carry this version always.
 inline constexpr std::uint8_t kHelloVersion = 1;
 
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -90,7 +90,7 @@
   const std::size_t instances = std::max(up, gateway.peers.size()) + 1;
   const GatewayLimits& limits = gateway.config.limits;
   for (auto& [service, budget] : gateway.budgets) {
-    Share(budget, {limits.retry_ratio, limits.retry_slack}, instances);
+    ShareBudget(budget, {limits.retry_ratio, limits.retry_slack}, instances);
   }
 }
 
--- a/src/decisions/retry_budget.cc
+++ b/src/decisions/retry_budget.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-void Share(RetryBudget& budget, const SharedRetryBudget& shared,
+void ShareBudget(RetryBudget& budget, const SharedRetryBudget& shared,
            std::size_t instances) noexcept {
   const auto parts = static_cast<double>(std::max<std::size_t>(1, instances));
   budget.most = std::max(RetryBudget::kCost, shared.slack * kUsedShare / parts);
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -18,6 +18,8 @@
 using flatbuffers::Offset;
 
 constexpr std::uint8_t kLastEventIdVersion = 2;
+// Host, size of the prompt and place to resume at of a request.
+constexpr std::uint8_t kRouteFieldsVersion = 3;
 constexpr flatbuffers::uoffset_t kMaxVerifierDepth = 8;
 constexpr flatbuffers::uoffset_t kMaxVerifierTables = 4096;
 
@@ -70,8 +72,10 @@
   return builder.CreateVector(list);
 }
 
-[[nodiscard]] Offset<flatbuffers::Vector<const wire::PromptPart*>> Parts(
-    FlatBufferBuilder& builder, const Prompt& prompt) {
+using PartsOffset = Offset<flatbuffers::Vector<const wire::PromptPart*>>;
+
+[[nodiscard]] PartsOffset Parts(FlatBufferBuilder& builder,
+                                const Prompt& prompt) {
   std::vector<wire::PromptPart> parts;
   parts.reserve(prompt.parts.size());
   for (const PromptPart& part : prompt.parts) {
@@ -129,15 +133,20 @@
         head.key ? Text(builder, head.key->value()) : StringOffset();
     const auto digest = Text(builder, head.digest.value());
     const auto path = Places(builder, head.path);
-    const auto host = Text(builder, head.host);
-    const auto parts = Parts(builder, head.prompt);
-    const auto resume_after = Text(builder, head.resume_after);
+    const bool route_fields = version >= kRouteFieldsVersion;
+    const Prompt prompt = route_fields ? head.prompt : Prompt{};
+    const auto host =
+        route_fields ? Text(builder, head.host) : StringOffset();
+    const auto parts =
+        prompt.parts.empty() ? PartsOffset() : Parts(builder, prompt);
+    const auto resume_after =
+        route_fields ? Text(builder, head.resume_after) : StringOffset();
     builder.Finish(wire::CreateRequest(
         builder, request.stream.value(), id, account, account_home,
         entry_region, service, model, method, target, headers, key, digest,
         head.remaining.count(), path, head.revision.value(), head.stream,
         request.body_size.count(), request.credit.count(), host,
-        head.prompt.tokens_in, head.prompt.tokens_out, parts, resume_after));
+        prompt.tokens_in, prompt.tokens_out, parts, resume_after));
     return FrameType::kRequest;
   }
   FrameType operator()(const RequestBodyMessage& body) const {
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -73,6 +74,11 @@
       throw std::runtime_error("not up: " + member.name + "\n" + Outputs());
     }
   }
+  for (const ClusterMember& member : instances_) {
+    if (!WaitForLinks(member)) {
+      throw std::runtime_error("no links: " + member.name + "\n" + Outputs());
+    }
+  }
   if (options_.rules.empty()) {
     return;
   }
@@ -124,6 +130,21 @@
   });
 }
 
+bool Cluster::WaitForLinks(const ClusterMember& member) const {
+  HttpRequest request;
+  request.target = "/v1/entry";
+  request.headers = {
+      {"Authorization", std::string("Bearer ") + kSchoolToken}};
+  return WaitUntil([&] {
+    const HttpReply reply = Fetch(member.entry, request);
+    return std::all_of(
+        instances_.begin(), instances_.end(), [&](const ClusterMember& other) {
+          return other.name == member.name ||
+                 reply.body.find('"' + other.name + '"') != std::string::npos;
+        });
+  });
+}
+
 int Cluster::ApplyRules(const ClusterMember& through,
                         const std::string& rules) {
   const std::string number = std::to_string(++applied_);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -57,6 +57,8 @@
 
   /// \brief Starts a member's process anew, with the command it had.
   void Start(ClusterMember& member);
+  /// \brief Waits until an instance has its links to all others.
+  [[nodiscard]] bool WaitForLinks(const ClusterMember& member) const;
   /// \brief Waits until a path of an instance answers 200.
   [[nodiscard]] bool WaitFor(const ClusterMember& member,
                              const std::string& path) const;
--- a/tests/unit/link_encoding_test.cc
+++ b/tests/unit/link_encoding_test.cc
@@ -31,6 +31,9 @@
   request.head.path = {{RegionId{"nairobi-a"}, "nairobi-a-1"}};
   request.head.revision = Revision{3};
   request.head.stream = true;
+  request.head.host = "nets.example";
+  request.head.prompt = {1460, 80, {{0x5c1e07a2, 800}, {0x91bd3f06, 410}}};
+  request.head.resume_after = "12";
   request.body_size = Bytes{4};
   request.credit = Kibibytes(16);
   Problem problem;
@@ -96,7 +99,7 @@
 }
 
 TEST_CASE("the bytes of each version are as recorded") {
-  const std::uint8_t version = GENERATE(1, 2);
+  const std::uint8_t version = GENERATE(1, 2, 3);
   std::string text;
   for (const Message& message : OneOfEach()) {
     text += fmt::format("message {}\n", message.index());
@@ -107,7 +110,7 @@
 }
 
 TEST_CASE("messages come back from their bytes whatever the chunks") {
-  const std::uint8_t version = GENERATE(1, 2);
+  const std::uint8_t version = GENERATE(1, 2, 3);
   const std::size_t chunk = GENERATE(1u, 7u, 64u, 100000u);
   std::string bytes;
   for (const Message& message : OneOfEach()) {
@@ -121,8 +124,11 @@
   }
   CHECK(again == bytes);
   const auto& body = std::get<AnswerBodyMessage>(messages[8]);
-  CHECK(body.last_event_id.has_value() == (version == 2));
+  CHECK(body.last_event_id.has_value() == (version >= 2));
   const auto& request = std::get<RequestMessage>(messages[3]);
+  CHECK((request.head.host == "nets.example") == (version >= 3));
+  CHECK(request.head.prompt.parts.size() == (version >= 3 ? 2U : 0U));
+  CHECK(request.head.resume_after.has_value() == (version >= 3));
   CHECK(request.head.key == IdempotencyKey{"order-1"});
   CHECK(request.head.remaining == std::chrono::seconds(5));
 }
