Placement by what a region knows together: load digests, prompt parts, offers of regions, refusal in time

Ruled out: processor time (0.02 cores), connections. Change: instances of a region tell each other what they have at each upstream and which parts it has been given (100 ms), other regions what they could do for a short request (300 ms); a request goes where its answer begins soonest, elsewhere when that is sooner by the hop; what cannot end in time is refused at once with the time at which the queue will have shrunk.

--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -4,6 +4,7 @@
 #define MIMOSAGAUGE_IMPL_DECISIONS_EFFECTS_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -111,6 +112,12 @@
   std::string bytes;
 };
 
+/// \brief Tell another instance of the load here; may be lost.
+struct SendLoad {
+  InstanceId to;
+  std::shared_ptr<const LoadDigest> digest;  ///< Never null.
+};
+
 /// \brief Show this from now on.
 struct PublishView {
   InstanceViewPtr view;  ///< Never null.
@@ -129,7 +136,7 @@
 /// For the duty that keeps links to other instances.
 using LinkEffect = std::variant<StartLinkAttempt, CancelAttempt, CreditAttempt,
                                 SendAnswerHead, SendAnswerBody, SendAnswerEnd,
-                                AbortAnswer, SendProblem, SendGossip,
+                                AbortAnswer, SendProblem, SendGossip, SendLoad,
                                 UseInstance, DropInstance>;
 
 /// \brief Any effect, with the duty it is for.
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -13,6 +13,7 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
+#include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/request.h"
 #include "mimosagauge/impl/decisions/routes.h"
 #include "mimosagauge/impl/decisions/upstream_table.h"
@@ -121,6 +122,12 @@
   std::string bytes;  ///< Opaque to the link duty.
 };
 
+/// \brief Another instance told of its load.
+struct LoadTold {
+  InstanceId from;
+  LoadDigest digest;
+};
+
 /// \brief The store has answered, or failed to answer, a call about claims.
 struct ClaimStoreAnswered {
   StoreEvent answer;
@@ -137,7 +144,7 @@
                  AttemptBody, AttemptEnded, AttemptFailed, RulesArrived,
                  CatalogueArrived, UpstreamLearned, UpstreamRemoved,
                  ZoneEvacuated, InstanceLearned, InstanceRemoved, LinkChanged,
-                 GossipArrived, ClaimStoreAnswered, DrainRequested,
+                 LoadTold, GossipArrived, ClaimStoreAnswered, DrainRequested,
                  Tick>;
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -35,7 +35,7 @@
   AttemptNumber number;
   std::variant<UpstreamId, InstanceId> target;
   TimePoint started{};
-  Duration expected_start{};  ///< Until its answer begins.
+  Expectation expected;
   double prompt_tokens = 0;   ///< Counted as unread at its upstream.
   bool answered = false;
 };
@@ -63,6 +63,7 @@
   Duration first_part{};      ///< From arrival to the answer's head.
   std::optional<Attempt> running;     ///< At most one at a time.
   std::optional<WaitingPlace> place;  ///< Set while it waits for an upstream.
+  TimePoint wait_until{};  ///< Then it is refused; set while it waits.
   bool resuming = false;  ///< The attempt continues an answer begun before.
   std::optional<std::string> last_event_id;  ///< Passed on to the caller.
   bool resumable = false;                    ///< The answer is a stream.
@@ -79,6 +80,9 @@
   bool up = false;
   bool leaving = false;
   bool listed = true;  ///< Registered, or named in the settings.
+  /// What its region could do for others, as it told last.
+  std::unordered_map<ServiceId, ServiceOffer> offers;
+  TimePoint offered_at{};
 };
 
 /// \brief Everything that the decisions of one instance know.
@@ -92,6 +96,10 @@
   /// What each learned upstream said last, for a change of the catalogue.
   std::unordered_map<UpstreamId, UpstreamRecord> records;
   std::set<ZoneId> evacuated;
+  /// Read since the last digest, for the instances of this region.
+  std::vector<PartRead> parts_read;
+  TimePoint next_digest{};  ///< To the instances of this region.
+  TimePoint next_offers{};  ///< To those of other regions.
   std::vector<PeerState> peers;
   /// Each request in progress; one is erased when its outcome is closed.
   std::unordered_map<RequestNumber, RequestRecord> requests;
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -105,6 +105,20 @@
 /// \brief Shares what all instances may do together among those that live.
 void ShareOut(Gateway& gateway);
 
+/// \brief Tells other instances of the load here when it is time.
+void TellLoad(Turn& turn);
+
+/// \brief Another region's instance and what to expect of a request there.
+struct RemoteChoice {
+  const PeerConfig* peer = nullptr;  ///< Null: none may serve it.
+  Expectation expected;
+};
+
+/// \returns Where in other regions a request would be served soonest.
+[[nodiscard]] RemoteChoice ChooseRemote(Gateway& gateway,
+                                        const RequestRecord& record,
+                                        TimePoint now);
+
 /// \brief One overload for each event.
 void Handle(Turn& turn, RequestArrived&& event);
 void Handle(Turn& turn, RequestAbandoned&& event);
@@ -116,6 +130,7 @@
 void Handle(Turn& turn, ZoneEvacuated&& event);
 void Handle(Turn& turn, InstanceLearned&& event);
 void Handle(Turn& turn, InstanceRemoved&& event);
+void Handle(Turn& turn, LoadTold&& event);
 void Handle(Turn& turn, LinkChanged&& event);
 void Handle(Turn& turn, GossipArrived&& event);
 void Handle(Turn& turn, ClaimStoreAnswered&& event);
--- a/include/mimosagauge/impl/decisions/prefix_cache.h
+++ b/include/mimosagauge/impl/decisions/prefix_cache.h
@@ -29,6 +29,9 @@
 /// \brief The engine reads, or has read, the prompt.
 void Touch(PrefixCache& cache, const Prompt& prompt);
 
+/// \brief The engine has been given one shared part to read.
+void Touch(PrefixCache& cache, const PromptPart& part);
+
 /// \brief The engine has lost everything.
 void Clear(PrefixCache& cache);
 
--- a/include/mimosagauge/impl/decisions/problems.h
+++ b/include/mimosagauge/impl/decisions/problems.h
@@ -28,6 +28,9 @@
 [[nodiscard]] Problem DueTimePassed(RunState run);
 /// An attempt failed and may not be repeated.
 [[nodiscard]] Problem AttemptsFailed(const std::string& detail, RunState run);
+/// \returns When a caller that has so much time left is to come back: soon
+/// enough to be served then.
+[[nodiscard]] Duration RetryAfter(Duration left);
 /// \brief Makes the status say no more than is known: one that promises that
 /// the request was not run goes with no other run state, and the reverse.
 void KeepPromise(Problem& problem);
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/decisions/cold_start.h"
 #include "mimosagauge/impl/decisions/config.h"
 #include "mimosagauge/impl/decisions/engine_load.h"
+#include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/prefix_cache.h"
 #include "mimosagauge/impl/decisions/request.h"
 
@@ -63,7 +64,7 @@
 /// \brief Where a request would go, and what to expect of it.
 struct UpstreamChoice {
   UpstreamId id;
-  Duration start{};            ///< Until its answer begins.
+  Expectation expected;
   double prompt_tokens = 0;    ///< That the upstream has to read.
 };
 
@@ -108,15 +109,9 @@
 /// \brief A zone's upstreams are to get nothing, or may get work again.
 void Evacuate(UpstreamTable& table, const ZoneId& zone, bool on);
 
-/// \returns Of all own attempts, those at upstreams of the service; and what
-/// those upstreams run at once.
-struct ServiceUse {
-  std::size_t usable = 0;     ///< Upstreams that may get work.
-  std::size_t slots = 0;      ///< Of them all.
-  std::size_t in_flight = 0;  ///< Own and others', as far as known.
-};
-[[nodiscard]] ServiceUse UseOf(const UpstreamTable& table,
-                               const ServiceId& service, TimePoint now);
+/// \returns What the upstreams of the service could do for a short request.
+[[nodiscard]] ServiceOffer OfferOf(const UpstreamTable& table,
+                                   const ServiceId& service, TimePoint now);
 
 /// \returns Whether an upstream can serve the need now or once it is free.
 [[nodiscard]] bool CanServe(const UpstreamTable& table,
--- a/include/mimosagauge/impl/decisions/view.h
+++ b/include/mimosagauge/impl/decisions/view.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "mimosagauge/impl/core/endpoint.h"
@@ -56,15 +57,17 @@
   Duration entries_good_for{};
   std::vector<UpstreamView> upstreams;
   std::vector<InstanceRevisionView> revisions;  ///< Of the other instances.
-  /// What callers may send, where the operators' configuration says so.
-  std::optional<CallerLimits> limits;
+  /// The operators' configuration; null: none is known.
+  std::shared_ptr<const RouteCatalogue> catalogue;
   std::string metrics;  ///< In the Prometheus text format.
 };
 
-/// \returns The entries for a caller in this place, those it should use and no
-/// others: the ones of its region, or all while its region has none.
-[[nodiscard]] std::vector<EntryInstance> EntriesFor(
-    const InstanceView& view, const RegionId& region);
+/// \returns The entries for a caller in this region that asks for this host,
+/// those it should use and no others: the ones of its region; while that has
+/// none, those of regions where the host's requests may be served; else all.
+[[nodiscard]] std::vector<EntryInstance> EntriesFor(const InstanceView& view,
+                                                    const RegionId& region,
+                                                    std::string_view host);
 
 using InstanceViewPtr = std::shared_ptr<const InstanceView>;
 
--- a/include/mimosagauge/impl/duties/callers/request.h
+++ b/include/mimosagauge/impl/duties/callers/request.h
@@ -22,6 +22,7 @@
   OwnResource resource = OwnResource::kHealth;
   AccountId account;  ///< Only of a question for the instances to use.
   RegionId region;    ///< Of who asks, where it says so; else empty.
+  std::string host;   ///< That it asks for, where it says so; else empty.
 };
 
 /// \brief A request for an upstream, its body still to come.
--- a/include/mimosagauge/impl/duties/links/client.h
+++ b/include/mimosagauge/impl/duties/links/client.h
@@ -66,6 +66,9 @@
   /// \brief Sends control state if the link is up, else drops it and counts.
   void Handle(SendGossip&& gossip);
 
+  /// \brief The same with a load digest.
+  void Handle(SendLoad&& load);
+
   [[nodiscard]] const LinkClientCounters& counters() const noexcept {
     return counters_;
   }
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -69,6 +69,15 @@
   return true;
 }
 
+// It has waited as long as it may; its caller can come back.
+void StopWaiting(Turn& turn, RequestRecord& record) {
+  if (record.place && record.wait_until <= turn.now) {
+    Problem problem = Overloaded(record.outcome.run);
+    problem.retry_after = RetryAfter(record.due - turn.now);
+    Refuse(turn, record, std::move(problem));
+  }
+}
+
 void ExpireRequests(Turn& turn) {
   Gateway& gateway = turn.gateway;
   while (!gateway.deadlines.empty() &&
@@ -76,7 +85,14 @@
     const RequestNumber number = gateway.deadlines.begin()->second;
     gateway.deadlines.erase(gateway.deadlines.begin());
     RequestRecord* record = FindRequest(gateway, number);
-    if (record == nullptr || MayRunOn(turn, *record)) {
+    if (record == nullptr) {
+      continue;
+    }
+    if (record->due > turn.now) {
+      StopWaiting(turn, *record);
+      continue;
+    }
+    if (MayRunOn(turn, *record)) {
       continue;
     }
     CancelRunning(turn, *record);
@@ -230,7 +246,9 @@
       DueTime(gateway, record.verdict, *record.arrival.head, turn.now);
   const RequestNumber number = record.arrival.number;
   ++MetricsOf(gateway, record).requests;
-  Earn(gateway.budgets[record.verdict.service]);
+  if (record.arrival.origin == Origin::kCaller) {
+    Earn(gateway.budgets[record.verdict.service]);
+  }
   gateway.deadlines.emplace(record.due, number);
   const bool keyed =
       record.arrival.head->key.has_value() && !record.verdict.idempotent;
@@ -381,7 +399,7 @@
       std::max(0.0, load.unread_tokens - attempt.prompt_tokens);
   load.unanswered -= load.unanswered > 0 ? 1 : 0;
   if (answered && upstream->kind == UpstreamKind::kEngine) {
-    LearnStart(load, attempt.expected_start, turn.now - attempt.started);
+    LearnStart(load, attempt.expected.start, turn.now - attempt.started);
   }
 }
 
@@ -529,6 +547,7 @@
   // First, so that nothing is started only to be cut off.
   detail::ContinueDrain(turn);
   detail::Dispatch(turn);
+  detail::TellLoad(turn);
   detail::PublishViews(turn);
   return effects;
 }
@@ -537,9 +556,7 @@
   InstanceView view;
   view.draining = gateway.drain_began.has_value();
   view.ready = detail::HasPolicy(gateway) && !view.draining;
-  if (gateway.catalogue != nullptr) {
-    view.limits = gateway.catalogue->limits;
-  }
+  view.catalogue = gateway.catalogue;
   view.rules = gateway.rules;
   if (!gateway.config.ticket_secrets.empty() && !view.draining) {
     view.ticket = NextTicket(gateway.keys, now);
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -69,14 +69,17 @@
   start.credit = Window(gateway, record);
   start.last_event_id = record.last_event_id;
   BeginWork(gateway.upstreams, id);
-  record.running->expected_start = choice.start;
+  record.running->expected = choice.expected;
   record.running->prompt_tokens = choice.prompt_tokens;
   if (UpstreamState* upstream = FindUpstream(gateway.upstreams, id)) {
-    upstream->load.unread_tokens += choice.prompt_tokens;
-    ++upstream->load.unanswered;
+    CountPrompt(upstream->load, choice.prompt_tokens, turn.now);
     CountRequest(upstream->cold, turn.now);
     if (upstream->kind == UpstreamKind::kEngine) {
-      Touch(upstream->cache, record.arrival.head->prompt);
+      const Prompt& prompt = record.arrival.head->prompt;
+      Touch(upstream->cache, prompt);
+      if (const PromptPart* part = LeadingPart(prompt)) {
+        gateway.parts_read.push_back({id, *part});
+      }
     }
   }
   turn.effects.emplace_back(ForUpstreams{std::move(start)});
@@ -89,23 +92,21 @@
          !record.keyed && record.passed.size() < kMaxPlaces - 1;
 }
 
-[[nodiscard]] const PeerConfig* ChoosePeer(Gateway& gateway,
-                                           const RequestRecord& record) {
-  if (!MayForward(record)) {
-    return nullptr;
-  }
-  std::vector<const PeerConfig*> candidates;
-  for (const PeerState& peer : gateway.peers) {
-    const bool elsewhere = peer.config.region != gateway.config.region;
-    if (elsewhere && peer.up && !peer.leaving && MayGoTo(record, peer.config)) {
-      candidates.push_back(&peer.config);
-    }
-  }
-  if (candidates.empty()) {
-    return nullptr;
-  }
-  std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
-  return candidates[pick(gateway.random)];
+// An answer is expected no more exactly than this.
+constexpr double kExpectationSlack = 1.3;
+// Part of the objective within which an answer from here begins soon enough.
+constexpr double kSoonEnough = 0.5;
+// A request waits here no longer than this part of its objective.
+constexpr double kLongestWaitPart = 0.4;
+constexpr Duration kShortestWait = std::chrono::milliseconds(100);
+
+[[nodiscard]] Duration Part(Duration duration, double part) {
+  return std::chrono::duration_cast<Duration>(duration * part);
+}
+
+[[nodiscard]] bool FitsIn(const Turn& turn, const RequestRecord& record,
+                          const Expectation& expected) {
+  return Part(expected.end, 1 / kExpectationSlack) <= record.due - turn.now;
 }
 
 void Wait(Turn& turn, RequestRecord& record) {
@@ -120,6 +121,12 @@
     Dequeue(turn.gateway.waiting, *record.place);
   }
   record.place = place;
+  if (turn.gateway.catalogue != nullptr && record.wait_until == TimePoint{}) {
+    const Duration wait = std::max(
+        kShortestWait, Part(record.verdict.objective, kLongestWaitPart));
+    record.wait_until = turn.now + wait;
+    turn.gateway.deadlines.emplace(record.wait_until, number);
+  }
   const auto loser = Enqueue(turn.gateway.waiting, *record.place);
   if (!loser) {
     return;
@@ -141,6 +148,28 @@
   Refuse(turn, record, NoCapacity(head, run));
 }
 
+// Nothing could answer it in time: said at once, with the time at which the
+// queue here will have shrunk.
+void RefuseOverload(Turn& turn, RequestRecord& record,
+                    const Expectation& expected) {
+  Problem problem = Overloaded(record.outcome.run);
+  const Duration left = record.due - turn.now;
+  problem.retry_after = std::max(
+      RetryAfter(left),
+      std::min(expected.start - Part(record.verdict.objective, kSoonEnough),
+               left / 3));
+  Refuse(turn, record, std::move(problem));
+}
+
+// Requests of the product's own interface have no objective: any upstream that
+// is free is soon enough.
+[[nodiscard]] bool IsSoonEnough(const Gateway& gateway,
+                                const RequestRecord& record,
+                                const UpstreamChoice& choice) {
+  return gateway.catalogue == nullptr ||
+         choice.expected.start <= Part(record.verdict.objective, kSoonEnough);
+}
+
 }  // namespace
 
 bool MayGoTo(const RequestRecord& record, const PeerConfig& peer) {
@@ -184,19 +213,34 @@
   const RegionId& region = gateway.config.region;
   const UpstreamNeed need = NeedOf(record);
   const bool here = AllowsRegion(record.verdict, region);
+  std::optional<UpstreamChoice> local;
   if (here) {
-    const auto upstream =
-        ChooseUpstream(gateway.upstreams, WeighedNeedOf(gateway, record),
-                       gateway.config.zone, region, turn.now);
-    if (upstream) {
-      return StartOnUpstream(turn, record, *upstream);
-    }
-    if (CanServe(gateway.upstreams, need, region, turn.now)) {
-      return Wait(turn, record);
+    local = ChooseUpstream(gateway.upstreams, WeighedNeedOf(gateway, record),
+                           gateway.config.zone, region, turn.now);
+  }
+  if (local && IsSoonEnough(gateway, record, *local)) {
+    return StartOnUpstream(turn, record, *local);
+  }
+  const RemoteChoice remote = MayForward(record)
+                                  ? ChooseRemote(gateway, record, turn.now)
+                                  : RemoteChoice{};
+  if (remote.peer != nullptr &&
+      (!local || remote.expected.start < local->expected.start)) {
+    if (gateway.catalogue == nullptr ||
+        FitsIn(turn, record, remote.expected)) {
+      return StartOnInstance(turn, record, *remote.peer);
     }
   }
-  if (const PeerConfig* peer = ChoosePeer(gateway, record)) {
-    return StartOnInstance(turn, record, *peer);
+  if (local) {
+    return FitsIn(turn, record, local->expected)
+               ? StartOnUpstream(turn, record, *local)
+               : RefuseOverload(turn, record, local->expected);
+  }
+  if (remote.peer != nullptr && gateway.catalogue == nullptr) {
+    return StartOnInstance(turn, record, *remote.peer);
+  }
+  if (here && CanServe(gateway.upstreams, need, region, turn.now)) {
+    return Wait(turn, record);
   }
   if (here && CanServeLater(gateway.upstreams, need, region)) {
     return Wait(turn, record);
--- a/src/decisions/prefix_cache.cc
+++ b/src/decisions/prefix_cache.cc
@@ -31,14 +31,20 @@
 
 }  // namespace
 
-void Touch(PrefixCache& cache, const Prompt& prompt) {
-  for (std::size_t i = 0; i < SharedParts(prompt); ++i) {
-    if (prompt.parts[i].tokens >= kLeastTrackedTokens) {
-      Add(cache, prompt.parts[i]);
-    }
+void Touch(PrefixCache& cache, const PromptPart& part) {
+  if (part.tokens < kLeastTrackedTokens) {
+    return;
   }
+  Add(cache, part);
   while (cache.held > cache.capacity && !cache.by_use.empty()) {
-    Remove(cache, cache.by_use.back().id);
+    const std::uint64_t oldest = cache.by_use.back().id;
+    Remove(cache, oldest);
+  }
+}
+
+void Touch(PrefixCache& cache, const Prompt& prompt) {
+  for (std::size_t i = 0; i < SharedParts(prompt); ++i) {
+    Touch(cache, prompt.parts[i]);
   }
 }
 
--- a/src/decisions/problems.cc
+++ b/src/decisions/problems.cc
@@ -19,6 +19,9 @@
 constexpr std::array<std::uint16_t, 4> kPromises{408, 421, 429, 503};
 constexpr std::uint16_t kLoopDetected = 508;
 constexpr Duration kRetrySoon = std::chrono::seconds(1);
+constexpr Duration kRetrySoonest = std::chrono::milliseconds(50);
+// Callers wait for no longer part of the time that they have left.
+constexpr int kRetryPart = 4;
 
 struct ProblemText {
   std::string_view type;
@@ -66,6 +69,10 @@
               RunState::kNotRun);
 }
 
+Duration RetryAfter(Duration left) {
+  return std::clamp(left / kRetryPart, kRetrySoonest, kRetrySoon);
+}
+
 void KeepPromise(Problem& problem) {
   const bool promises = std::find(kPromises.begin(), kPromises.end(),
                                   problem.status) != kPromises.end();
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -78,14 +78,14 @@
 // One of the usable upstreams and how it compares.
 struct Candidate {
   const UpstreamState* upstream = nullptr;
-  Duration start{};
+  Expectation expected;
   Duration cost{};  // The start, and what the choice costs others.
   double prompt_tokens = 0;
 };
 
 // What reading tokens anew costs beyond the time of this request: it holds up
 // the others in the batch and pushes out what they could use.
-constexpr double kReadingCost = 0.5;
+constexpr double kReadingCost = 2;
 // An upstream that others would choose for a prompt has probably read it.
 constexpr double kPreferredDiscount = 0.5;
 
@@ -95,35 +95,50 @@
           tokens / std::max(1.0, speeds.prompt_tokens_per_ms)));
 }
 
+// Tokens of the prompt that the upstream would probably have to read.
+[[nodiscard]] double ExpectedTokens(const UpstreamState& upstream,
+                                    const Prompt& prompt, bool preferred) {
+  const double whole = prompt.tokens_in;
+  const double unread = TokensToRead(upstream.cache, prompt);
+  const PromptPart* leading = LeadingPart(prompt);
+  if (!preferred || leading == nullptr || unread < whole) {
+    return unread;
+  }
+  return unread - kPreferredDiscount * std::min<double>(leading->tokens, whole);
+}
+
+[[nodiscard]] LoadQuestion QuestionFor(const UpstreamState& upstream) {
+  LoadQuestion question;
+  question.engine = upstream.kind == UpstreamKind::kEngine;
+  question.in_flight = upstream.in_flight;
+  question.slots = upstream.config.concurrency;
+  return question;
+}
+
 [[nodiscard]] Candidate Weigh(const UpstreamTable& table,
                               const UpstreamState& upstream,
                               const UpstreamNeed& need, bool preferred,
                               TimePoint now) {
   Candidate candidate;
   candidate.upstream = &upstream;
-  StartQuestion question;
-  question.engine = upstream.kind == UpstreamKind::kEngine;
-  question.in_flight = upstream.in_flight;
-  question.slots = upstream.config.concurrency;
+  LoadQuestion question = QuestionFor(upstream);
   if (question.engine && need.prompt != nullptr) {
-    const double whole = need.prompt->tokens_in;
-    const double unread = TokensToRead(upstream.cache, *need.prompt);
-    const double kept = whole - unread;
-    const PromptPart* leading = LeadingPart(*need.prompt);
-    double expected = unread;
-    if (preferred && kept == 0 && leading != nullptr) {
-      expected -= kPreferredDiscount * std::min<double>(leading->tokens, whole);
-    }
-    question.prompt_tokens = expected;
+    question.prompt_tokens = ExpectedTokens(upstream, *need.prompt, preferred);
+    question.output_tokens = need.prompt->tokens_out;
   }
   candidate.prompt_tokens = question.prompt_tokens;
-  candidate.start = ExpectedStart(upstream.load, question, table.speeds, now);
+  candidate.expected = Expect(upstream.load, question, table.speeds, now);
   candidate.cost =
-      candidate.start +
+      candidate.expected.start +
       ReadingTime(question.prompt_tokens * kReadingCost, table.speeds);
   return candidate;
 }
 
+[[nodiscard]] bool HasRoom(const UpstreamState& upstream, TimePoint now) {
+  return upstream.in_flight + Others(upstream.load, now).in_flight <
+         upstream.limit;
+}
+
 // The upstream that every instance prefers for a prompt.
 [[nodiscard]] const UpstreamState* Preferred(
     const std::vector<const UpstreamState*>& usable, const Prompt* prompt) {
@@ -215,8 +230,7 @@
                                              TimePoint now) {
   std::vector<const UpstreamState*> usable;
   AnyOffering(table, need, [&](const UpstreamState& upstream) {
-    if (upstream.in_flight < upstream.limit &&
-        Usable(upstream, need, region, now)) {
+    if (HasRoom(upstream, now) && Usable(upstream, need, region, now)) {
       usable.push_back(&upstream);
     }
     return false;
@@ -233,7 +247,7 @@
       best = candidate;
     }
   }
-  return UpstreamChoice{best->upstream->config.id, best->start,
+  return UpstreamChoice{best->upstream->config.id, best->expected,
                         best->prompt_tokens};
 }
 
@@ -284,24 +298,30 @@
   }
 }
 
-ServiceUse UseOf(const UpstreamTable& table, const ServiceId& service,
-                 TimePoint now) {
-  ServiceUse use;
+ServiceOffer OfferOf(const UpstreamTable& table, const ServiceId& service,
+                     TimePoint now) {
+  ServiceOffer offer;
+  offer.service = service;
   const auto found = table.services.find(service);
   if (found == table.services.end()) {
-    return use;
+    return offer;
   }
   for (const std::size_t position : found->second.all) {
     const UpstreamState& upstream = table.upstreams[position];
-    if (upstream.leaving || upstream.evacuated ||
-        upstream.ejected_until > now) {
+    const bool usable = !upstream.leaving && !upstream.evacuated &&
+                        upstream.ejected_until <= now &&
+                        !IsCold(upstream.cold, now) && HasRoom(upstream, now);
+    if (!usable) {
       continue;
     }
-    ++use.usable;
-    use.slots += upstream.config.concurrency;
-    use.in_flight += upstream.in_flight + OthersInFlight(upstream.load, now);
+    const Expectation expected =
+        Expect(upstream.load, QuestionFor(upstream), table.speeds, now);
+    const bool first = offer.usable++ == 0;
+    offer.start = first ? expected.start : std::min(offer.start, expected.start);
+    offer.reading += expected.reading;
   }
-  return use;
+  offer.reading /= std::max<std::uint32_t>(1, offer.usable);
+  return offer;
 }
 
 bool CanServe(const UpstreamTable& table, const UpstreamNeed& need,
--- a/src/decisions/view.cc
+++ b/src/decisions/view.cc
@@ -6,15 +6,43 @@
 #include <iterator>
 
 namespace mimosagauge {
+namespace {
 
-std::vector<EntryInstance> EntriesFor(const InstanceView& view,
-                                      const RegionId& region) {
-  std::vector<EntryInstance> near;
+// Whether every request of the host may be served in the region.
+[[nodiscard]] bool IsHome(const RouteCatalogue& catalogue,
+                          std::string_view host, const RegionId& region) {
+  return std::all_of(
+      catalogue.routes.begin(), catalogue.routes.end(),
+      [&](const Route& route) {
+        return route.host != host || route.regions.empty() ||
+               std::find(route.regions.begin(), route.regions.end(), region) !=
+                   route.regions.end();
+      });
+}
+
+template <typename Wanted>
+[[nodiscard]] std::vector<EntryInstance> Pick(const InstanceView& view,
+                                              Wanted&& wanted) {
+  std::vector<EntryInstance> picked;
   std::copy_if(view.entries.begin(), view.entries.end(),
-               std::back_inserter(near), [&region](const EntryInstance& entry) {
-                 return entry.region == region;
-               });
-  return near.empty() ? view.entries : near;
+               std::back_inserter(picked), std::forward<Wanted>(wanted));
+  return picked;
+}
+
+}  // namespace
+
+std::vector<EntryInstance> EntriesFor(const InstanceView& view,
+                                      const RegionId& region,
+                                      std::string_view host) {
+  auto entries = Pick(view, [&region](const EntryInstance& entry) {
+    return entry.region == region;
+  });
+  if (entries.empty() && view.catalogue != nullptr) {
+    entries = Pick(view, [&](const EntryInstance& entry) {
+      return IsHome(*view.catalogue, host, entry.region);
+    });
+  }
+  return entries.empty() ? view.entries : entries;
 }
 
 }  // namespace mimosagauge
--- a/src/duties/callers/server.cc
+++ b/src/duties/callers/server.cc
@@ -91,10 +91,10 @@
 
 CallerLimits CallerServer::limits() const noexcept {
   const LimitSettings& own = settings_.limits;
-  if (!view_->limits) {
+  if (view_->catalogue == nullptr) {
     return {own.header, own.body, own.header_timeout, own.idle_timeout};
   }
-  return *view_->limits;
+  return view_->catalogue->limits;
 }
 
 Result<void> CallerServer::Listen() {
--- a/src/duties/links/client.cc
+++ b/src/duties/links/client.cc
@@ -10,6 +10,8 @@
 #include <variant>
 
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/wire/load_codec.h"
+#include "mimosagauge/impl/duties/links/gossip.h"
 #include "mimosagauge/impl/duties/links/log.h"
 
 namespace mimosagauge {
@@ -519,7 +521,7 @@
 }
 
 void LinkClient::On(Peer& peer, GossipMessage&& gossip) {
-  decisions_.Post(GossipArrived{peer.settings.id, std::move(gossip.data)});
+  PostGossip(decisions_, peer.settings.id, std::move(gossip.data));
 }
 
 void LinkClient::On(Peer& peer, GoodbyeMessage&& goodbye) {
@@ -547,6 +549,10 @@
        "run the same release on both sides"});
 }
 
+void LinkClient::Handle(SendLoad&& load) {
+  Handle(SendGossip{std::move(load.to), EncodeLoadDigest(*load.digest)});
+}
+
 void LinkClient::Handle(SendGossip&& gossip) {
   const auto found = peers_.find(gossip.to);
   const bool up =
--- /dev/null
+++ b/src/duties/links/gossip.cc
@@ -0,0 +1,27 @@
+// Telling control state apart by its tag.
+
+#include "mimosagauge/impl/duties/links/gossip.h"
+
+#include <utility>
+
+#include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/wire/load_codec.h"
+
+namespace mimosagauge {
+
+void PostGossip(Mailbox<Event>& decisions, const InstanceId& from,
+                std::string data) {
+  if (data.empty() || data.front() != kLoadDigestTag) {
+    decisions.Post(GossipArrived{from, std::move(data)});
+    return;
+  }
+  Result<LoadDigest> digest = DecodeLoadDigest(data);
+  if (!digest) {
+    Log(log_events::kLinkInvalidFrames,
+        {{"peer", from.value()}, {"error", digest.error().message}});
+    return;
+  }
+  decisions.Post(LoadTold{from, std::move(digest.value())});
+}
+
+}  // namespace mimosagauge
--- a/src/duties/links/server.cc
+++ b/src/duties/links/server.cc
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/links/gossip.h"
 #include "mimosagauge/impl/duties/links/log.h"
 
 namespace mimosagauge {
@@ -429,8 +430,7 @@
 }
 
 void LinkServer::On(const LinkPtr& link, GossipMessage&& gossip) {
-  decisions_.Post(
-      GossipArrived{link->connection->peer(), std::move(gossip.data)});
+  PostGossip(decisions_, link->connection->peer(), std::move(gossip.data));
 }
 
 void LinkServer::On(const LinkPtr& link, GoodbyeMessage&& goodbye) {
--- /dev/null
+++ b/src/wire/load_codec.cc
@@ -0,0 +1,107 @@
+// Load digests as FlatBuffers behind a tag.
+
+#include "mimosagauge/impl/wire/load_codec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <vector>
+
+#include "mimosagauge/impl/wire/load_schema.h"
+
+namespace mimosagauge {
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+constexpr double kPercent = 100;
+// FlatBuffers wants its bytes aligned; the tag takes a whole unit.
+constexpr std::size_t kTagBytes = 8;
+
+[[nodiscard]] std::uint32_t Microseconds(Duration duration) {
+  const auto count =
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(count, 0, UINT32_MAX));
+}
+
+}  // namespace
+
+std::string EncodeLoadDigest(const LoadDigest& digest) {
+  FlatBufferBuilder builder;
+  std::vector<Offset<wire::UpstreamShare>> shares;
+  for (const UpstreamShare& share : digest.shares) {
+    const auto upstream = builder.CreateString(share.upstream.value());
+    shares.push_back(wire::CreateUpstreamShare(builder, upstream,
+                                               share.in_flight,
+                                               share.unread_tokens,
+                                               share.sent_tokens));
+  }
+  std::vector<Offset<wire::PartRead>> parts;
+  for (const PartRead& read : digest.parts) {
+    const auto upstream = builder.CreateString(read.upstream.value());
+    parts.push_back(wire::CreatePartRead(builder, upstream, read.part.id,
+                                         read.part.tokens));
+  }
+  std::vector<Offset<wire::ServiceOffer>> offers;
+  for (const ServiceOffer& offer : digest.offers) {
+    const auto service = builder.CreateString(offer.service.value());
+    const double percent = std::clamp(offer.reading, 0.0, 1.0) * kPercent;
+    offers.push_back(wire::CreateServiceOffer(
+        builder, service, offer.usable, Microseconds(offer.start),
+        static_cast<std::uint8_t>(std::lround(percent))));
+  }
+  const auto share_list = builder.CreateVector(shares);
+  const auto part_list = builder.CreateVector(parts);
+  const auto offer_list = builder.CreateVector(offers);
+  builder.Finish(
+      wire::CreateLoadDigest(builder, share_list, part_list, offer_list));
+  std::string bytes(kTagBytes, kLoadDigestTag);
+  for (std::size_t i = 0; i < builder.GetSize(); ++i) {
+    bytes += static_cast<char>(builder.GetBufferPointer()[i]);
+  }
+  return bytes;
+}
+
+Result<LoadDigest> DecodeLoadDigest(std::string_view bytes) {
+  const Error invalid{ErrorKind::kInvalidInput,
+                      "a load digest of another instance does not hold",
+                      "run the same release on both sides"};
+  if (bytes.size() <= kTagBytes || bytes.front() != kLoadDigestTag) {
+    return invalid;
+  }
+  // A copy, for the bytes of a frame are not aligned.
+  const std::vector<std::uint8_t> payload(bytes.begin() + kTagBytes,
+                                          bytes.end());
+  flatbuffers::Verifier verifier(payload.data(), payload.size());
+  if (!wire::VerifyLoadDigestBuffer(verifier)) {
+    return invalid;
+  }
+  const wire::LoadDigest& table = *wire::GetLoadDigest(payload.data());
+  LoadDigest digest;
+  if (table.shares() != nullptr) {
+    for (const wire::UpstreamShare* share : *table.shares()) {
+      digest.shares.push_back({UpstreamId{share->upstream()->str()},
+                               share->in_flight(), share->unread_tokens(),
+                               share->sent_tokens()});
+    }
+  }
+  if (table.parts() != nullptr) {
+    for (const wire::PartRead* read : *table.parts()) {
+      digest.parts.push_back(
+          {UpstreamId{read->upstream()->str()}, {read->id(), read->tokens()}});
+    }
+  }
+  if (table.offers() != nullptr) {
+    for (const wire::ServiceOffer* offer : *table.offers()) {
+      digest.offers.push_back({ServiceId{offer->service()->str()},
+                               offer->usable(),
+                               std::chrono::microseconds(offer->start_us()),
+                               offer->reading_percent() / kPercent});
+    }
+  }
+  return digest;
+}
+
+}  // namespace mimosagauge
