--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -114,6 +114,7 @@
 struct LinkChanged {
   InstanceId instance;
   bool up = false;
+  bool leaving = false;  ///< The other side says so, and finishes its work.
 };
 
 /// \brief Control state of another instance came over a link.
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -78,7 +78,8 @@
 struct PeerState {
   PeerConfig config;
   bool up = false;
-  bool leaving = false;
+  /// Since when it says that it leaves; empty: it does not.
+  std::optional<TimePoint> leaving;
   bool listed = true;  ///< Registered, or named in the settings.
   /// What its region could do for others, as it told last.
   std::unordered_map<ServiceId, ServiceOffer> offers;
--- a/include/mimosagauge/impl/decisions/view.h
+++ b/include/mimosagauge/impl/decisions/view.h
@@ -54,6 +54,9 @@
   /// while it is leaving.
   std::optional<Ticket> ticket;
   std::vector<EntryInstance> entries;  ///< This instance's preference.
+  /// Instances that leave and still take callers: of use where there is no
+  /// other.
+  std::vector<EntryInstance> leaving_entries;
   Duration entries_good_for{};
   std::vector<UpstreamView> upstreams;
   std::vector<InstanceRevisionView> revisions;  ///< Of the other instances.
@@ -63,8 +66,9 @@
 };
 
 /// \returns The entries for a caller in this region that asks for this host,
-/// those it should use and no others: the ones of its region; while that has
-/// none, those of regions where the host's requests may be served; else all.
+/// those it should use and no others: the ones of its region, those that leave
+/// only while there is no other; while that has none, those of regions where
+/// the host's requests may be served; else all.
 [[nodiscard]] std::vector<EntryInstance> EntriesFor(const InstanceView& view,
                                                     const RegionId& region,
                                                     std::string_view host);
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -167,6 +167,29 @@
   return zone == gateway.config.zone ? 0 : 1;
 }
 
+[[nodiscard]] EntryInstance EntryOf(const PeerConfig& config) {
+  return {config.id, config.region, config.zone, config.entry};
+}
+
+// Instances that leave but still take callers.
+[[nodiscard]] std::vector<EntryInstance> LeavingEntries(const Gateway& gateway,
+                                                        TimePoint now) {
+  std::vector<EntryInstance> entries;
+  const auto takes_callers = [&](const std::optional<TimePoint>& since) {
+    return since && now - *since < gateway.config.limits.leave_notice;
+  };
+  if (takes_callers(gateway.drain_began)) {
+    const GatewayConfig& self = gateway.config;
+    entries.push_back({self.instance, self.region, self.zone, self.entry});
+  }
+  for (const PeerState& peer : gateway.peers) {
+    if (takes_callers(peer.leaving)) {
+      entries.push_back(EntryOf(peer.config));
+    }
+  }
+  return entries;
+}
+
 [[nodiscard]] std::vector<EntryInstance> Entries(const Gateway& gateway) {
   std::vector<EntryInstance> entries;
   const bool serves = gateway.catalogue != nullptr ||
@@ -176,9 +199,8 @@
     entries.push_back({self.instance, self.region, self.zone, self.entry});
   }
   for (const PeerState& peer : gateway.peers) {
-    if (peer.up && !peer.leaving) {
-      const PeerConfig& config = peer.config;
-      entries.push_back({config.id, config.region, config.zone, config.entry});
+    if (peer.up) {
+      entries.push_back(EntryOf(peer.config));
     }
   }
   std::stable_sort(entries.begin(), entries.end(),
@@ -308,13 +330,15 @@
   for (PeerState& peer : turn.gateway.peers) {
     if (peer.config.id == event.instance) {
       peer.up = event.up;
+      peer.leaving = event.leaving ? std::optional(turn.now) : std::nullopt;
     }
   }
   ShareOut(turn.gateway);
   const bool unlisted = std::any_of(
       turn.gateway.peers.begin(), turn.gateway.peers.end(),
       [&event](const PeerState& peer) {
-        return peer.config.id == event.instance && !peer.up && !peer.listed;
+        return peer.config.id == event.instance && !peer.up && !peer.leaving &&
+               !peer.listed;
       });
   if (unlisted) {
     Handle(turn, InstanceRemoved{event.instance});
@@ -525,7 +549,7 @@
   gateway.keys = MakeKeyTable(config.self, now);
   gateway.upstreams = MakeUpstreamTable(config.upstreams);
   for (const PeerConfig& peer : config.peers) {
-    gateway.peers.push_back({peer, false, false});
+    gateway.peers.emplace_back().config = peer;
   }
   gateway.waiting.capacity = config.limits.queued;
   gateway.config = std::move(config);
@@ -562,6 +586,7 @@
     view.ticket = NextTicket(gateway.keys, now);
   }
   view.entries = detail::Entries(gateway);
+  view.leaving_entries = detail::LeavingEntries(gateway, now);
   view.entries_good_for = detail::kEntriesGoodFor;
   for (const UpstreamState& upstream : gateway.upstreams.upstreams) {
     view.upstreams.push_back({upstream.config.id, upstream.config.service,
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -29,7 +29,7 @@
 }
 
 [[nodiscard]] bool TakesWord(const PeerState& peer) {
-  return peer.up && !peer.leaving;
+  return peer.up;
 }
 
 [[nodiscard]] std::uint32_t Whole(double number) {
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -47,8 +47,7 @@
     owners.push_back(gateway.config.instance);
   }
   for (const PeerState& peer : gateway.peers) {
-    if (peer.up && !peer.leaving &&
-        peer.config.region == gateway.config.region) {
+    if (peer.up && peer.config.region == gateway.config.region) {
       owners.push_back(peer.config.id);
     }
   }
@@ -190,7 +189,8 @@
                                     return peer.config.id == event.peer.id;
                                   });
   if (known == gateway.peers.end()) {
-    gateway.peers.push_back({event.peer, false, false});
+    PeerState& peer = gateway.peers.emplace_back();
+    peer.config = event.peer;
   } else {
     known->config = event.peer;
     known->listed = true;
@@ -213,8 +213,8 @@
   if (known == gateway.peers.end()) {
     return;
   }
-  if (known->up) {
-    // Its registration lapsed, and it lives: the link knows better.
+  if (known->up || known->leaving) {
+    // Its registration ended, and it lives: the link knows better.
     known->listed = false;
     return;
   }
--- a/src/decisions/view.cc
+++ b/src/decisions/view.cc
@@ -21,11 +21,11 @@
 }
 
 template <typename Wanted>
-[[nodiscard]] std::vector<EntryInstance> Pick(const InstanceView& view,
-                                              Wanted&& wanted) {
+[[nodiscard]] std::vector<EntryInstance> Pick(
+    const std::vector<EntryInstance>& entries, Wanted&& wanted) {
   std::vector<EntryInstance> picked;
-  std::copy_if(view.entries.begin(), view.entries.end(),
-               std::back_inserter(picked), std::forward<Wanted>(wanted));
+  std::copy_if(entries.begin(), entries.end(), std::back_inserter(picked),
+               std::forward<Wanted>(wanted));
   return picked;
 }
 
@@ -34,11 +34,15 @@
 std::vector<EntryInstance> EntriesFor(const InstanceView& view,
                                       const RegionId& region,
                                       std::string_view host) {
-  auto entries = Pick(view, [&region](const EntryInstance& entry) {
+  const auto is_near = [&region](const EntryInstance& entry) {
     return entry.region == region;
-  });
+  };
+  auto entries = Pick(view.entries, is_near);
+  if (entries.empty()) {
+    entries = Pick(view.leaving_entries, is_near);
+  }
   if (entries.empty() && view.catalogue != nullptr) {
-    entries = Pick(view, [&](const EntryInstance& entry) {
+    entries = Pick(view.entries, [&](const EntryInstance& entry) {
       return IsHome(*view.catalogue, host, entry.region);
     });
   }
--- a/src/duties/links/client.cc
+++ b/src/duties/links/client.cc
@@ -249,9 +249,7 @@
   peer.state = PeerState::kBackoff;
   FailAttempts(peer, error);
   peer.connection = nullptr;
-  if (!peer.leaving) {
-    decisions_.Post(LinkChanged{peer.settings.id, false});
-  }
+  decisions_.Post(LinkChanged{peer.settings.id, false});
   BackOff(peer);
 }
 
@@ -536,7 +534,7 @@
   if (!peer.leaving) {
     peer.leaving = true;
     Log(log_events::kPeerLeaving, {{"peer", peer.settings.id.value()}});
-    decisions_.Post(LinkChanged{peer.settings.id, false});
+    decisions_.Post(LinkChanged{peer.settings.id, false, true});
   }
 }
 
