--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -83,7 +83,7 @@
   bool listed = true;  ///< Registered, or named in the settings.
   /// What its region could do for others, as it told last.
   std::unordered_map<ServiceId, ServiceOffer> offers;
-  TimePoint offered_at{};
+  std::optional<TimePoint> offered_at;  ///< Empty: it has told nothing.
 };
 
 /// \brief Everything that the decisions of one instance know.
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -75,6 +75,11 @@
 /// \brief Carries out what the claim committer says.
 void Apply(Turn& turn, ClaimEffects&& effects);
 
+/// \returns Whether the request may be passed on to another instance: only the
+/// one that a caller asked does, so no request travels over more than one link;
+/// a keyed one stays with its owner.
+[[nodiscard]] bool MayForward(const RequestRecord& record) noexcept;
+
 /// \returns Whether the rules allow the instance's region and the request has
 /// not passed the instance.
 [[nodiscard]] bool MayGoTo(const RequestRecord& record, const PeerConfig& peer);
--- a/include/mimosagauge/impl/decisions/request.h
+++ b/include/mimosagauge/impl/decisions/request.h
@@ -50,7 +50,7 @@
 /// \brief How much work a generation is, as its caller says.
 struct Prompt {
   std::uint32_t tokens_in = 0;
-  std::uint32_t tokens_out = 0;   ///< At most.
+  std::uint32_t tokens_out = 0;   ///< That the answer is expected to have.
   std::vector<PromptPart> parts;  ///< In order; the last is its own.
 };
 
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -169,6 +169,19 @@
   }
 }
 
+// Whether an upstream of here or, where the operators' configuration decides,
+// of another region could run it.
+[[nodiscard]] bool HasAnotherPlace(Turn& turn, const RequestRecord& record) {
+  Gateway& gateway = turn.gateway;
+  const UpstreamNeed need{record.verdict.service, record.arrival.head->model,
+                          false, record.passed};
+  if (CanServe(gateway.upstreams, need, gateway.config.region, turn.now)) {
+    return true;
+  }
+  return gateway.catalogue != nullptr && MayForward(record) &&
+         ChooseRemote(gateway, record, turn.now).peer != nullptr;
+}
+
 // The upstream said that it cannot answer now; another one may.
 [[nodiscard]] bool TryElsewhere(Turn& turn, RequestRecord& record,
                                 std::uint16_t status) {
@@ -178,10 +191,7 @@
   if (!worth_another || !OnUpstream(record)) {
     return false;
   }
-  UpstreamNeed need{record.verdict.service, record.arrival.head->model, false,
-                    record.passed};
-  if (!CanServe(turn.gateway.upstreams, need, turn.gateway.config.region,
-                turn.now)) {
+  if (!HasAnotherPlace(turn, record)) {
     return false;
   }
   ++record.runs;
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -78,6 +78,10 @@
                     }));
 }
 
+[[nodiscard]] bool HasFreshOffers(const PeerState& peer, TimePoint now) {
+  return peer.offered_at && now - *peer.offered_at <= kOfferLife;
+}
+
 // What a request would find at another region's instance.
 [[nodiscard]] Expectation ExpectAt(const Gateway& gateway,
                                    const PeerState& peer,
@@ -85,8 +89,7 @@
   Expectation expected;
   expected.start = kHop + kUntoldStart;
   const auto offer = peer.offers.find(record.verdict.service);
-  const bool told =
-      offer != peer.offers.end() && now - peer.offered_at <= kOfferLife;
+  const bool told = offer != peer.offers.end() && HasFreshOffers(peer, now);
   if (told) {
     expected.start = kHop + offer->second.start;
     expected.reading = offer->second.reading;
@@ -112,7 +115,7 @@
 
 [[nodiscard]] bool Serves(const PeerState& peer, const ServiceId& service,
                           TimePoint now) {
-  if (now - peer.offered_at > kOfferLife) {
+  if (!HasFreshOffers(peer, now)) {
     return true;  // Nothing is known against it.
   }
   const auto offer = peer.offers.find(service);
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -85,15 +85,10 @@
   turn.effects.emplace_back(ForUpstreams{std::move(start)});
 }
 
-// Only the instance that a caller asked passes a request on, so no request
-// travels over more than one link. A keyed one stays with its owner.
-[[nodiscard]] bool MayForward(const RequestRecord& record) {
-  return record.arrival.origin == Origin::kCaller && !record.resuming &&
-         !record.keyed && record.passed.size() < kMaxPlaces - 1;
-}
-
 // An answer is expected no more exactly than this.
 constexpr double kExpectationSlack = 1.3;
+// Part of an engine's time spent reading from which on generations are slow.
+constexpr double kBusyReading = 0.6;
 // Part of the objective within which an answer from here begins soon enough.
 constexpr double kSoonEnough = 0.5;
 // A request waits here no longer than this part of its objective.
@@ -106,7 +101,13 @@
 
 [[nodiscard]] bool FitsIn(const Turn& turn, const RequestRecord& record,
                           const Expectation& expected) {
-  return Part(expected.end, 1 / kExpectationSlack) <= record.due - turn.now;
+  const Duration left = record.due - turn.now;
+  // How long a generation takes is little known; it is refused for that only
+  // where reading keeps the engines busy.
+  const Duration needed = expected.reading < kBusyReading
+                              ? expected.start
+                              : Part(expected.end, 1 / kExpectationSlack);
+  return needed <= left;
 }
 
 void Wait(Turn& turn, RequestRecord& record) {
@@ -172,6 +173,11 @@
 
 }  // namespace
 
+bool MayForward(const RequestRecord& record) noexcept {
+  return record.arrival.origin == Origin::kCaller && !record.resuming &&
+         !record.keyed && record.passed.size() < kMaxPlaces - 1;
+}
+
 bool MayGoTo(const RequestRecord& record, const PeerConfig& peer) {
   const ::mimosagauge::Place place{peer.region, peer.id.value()};
   const bool passed = std::find(record.passed.begin(), record.passed.end(),
--- /dev/null
+++ b/tests/unit/engine_load_test.cc
@@ -0,0 +1,117 @@
+// Expectations of an upstream follow what is known of its queue.
+
+#include "mimosagauge/impl/decisions/engine_load.h"
+
+#include <catch2/catch.hpp>
+
+#include "mimosagauge/impl/decisions/cold_start.h"
+
+namespace mimosagauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+
+[[nodiscard]] LoadQuestion Generation(double prompt, double output) {
+  return {true, prompt, output, 0, 64};
+}
+
+TEST_CASE("the more there is to read, the later an answer begins") {
+  const EngineSpeeds speeds;
+  EngineLoad load;
+  const Duration alone =
+      Expect(load, Generation(5000, 100), speeds, kStart).start;
+  CHECK(alone == speeds.first_token + milliseconds(100));
+  CountPrompt(load, 50000, kStart);
+  CHECK(Expect(load, Generation(5000, 100), speeds, kStart).start ==
+        alone + seconds(1));
+}
+
+TEST_CASE("reading slows the answers of the whole batch") {
+  const EngineSpeeds speeds;
+  EngineLoad idle;
+  EngineLoad busy;
+  CountPrompt(busy, 75000, kStart);  // 1.5 s of reading.
+  const auto generation = [&](const EngineLoad& load) {
+    const Expectation expected =
+        Expect(load, Generation(0, 120), speeds, kStart);
+    return expected.end - expected.start;
+  };
+  CHECK(generation(idle) == 120 * speeds.step);
+  CHECK(generation(busy) > 8 * generation(idle));
+  SECTION("and that fades once nothing more comes") {
+    const Expectation later =
+        Expect(busy, Generation(0, 120), speeds, kStart + seconds(30));
+    CHECK(later.reading < 0.01);
+  }
+}
+
+TEST_CASE("a plain service's queue counts in rounds of its slots") {
+  const EngineSpeeds speeds;
+  EngineLoad load;
+  LearnService(load, milliseconds(30));
+  const auto [in_flight, rounds] = GENERATE(table<std::size_t, double>({
+      {0, 0}, {5, 0}, {6, 1.0 / 6}, {11, 1}, {17, 2}}));
+  CAPTURE(in_flight);
+  const LoadQuestion question{false, 0, 0, in_flight, 6};
+  const Expectation expected = Expect(load, question, speeds, kStart);
+  const double share = static_cast<double>(in_flight) / 36;
+  const auto wanted = std::chrono::duration_cast<Duration>(
+      Duration(milliseconds(30)) * (rounds + share));
+  CHECK(expected.start - wanted < milliseconds(1));
+  CHECK(wanted - expected.start < milliseconds(1));
+}
+
+TEST_CASE("without another instance's word the upstream's own report counts") {
+  EngineLoad load;
+  LearnLoad(load, {20, 10, 64}, 12, kStart);
+  CHECK(Others(load, kStart).in_flight == 18);
+  CHECK(Others(load, kStart).unread_tokens > 0);
+  LearnForeign(load, InstanceId{"other"}, {5, 100, kStart}, 0, kStart);
+  CHECK(Others(load, kStart).in_flight == 5);
+  CHECK(Others(load, kStart + seconds(60)).in_flight == 0);
+}
+
+TEST_CASE("an upstream that is slower than expected is expected to be slow") {
+  EngineLoad load;
+  for (int i = 0; i < 100; ++i) {
+    LearnStart(load, milliseconds(100), milliseconds(200));
+  }
+  CHECK(load.slowness > 1.8);
+  for (int i = 0; i < 1000; ++i) {
+    LearnStart(load, milliseconds(100), seconds(1000));
+  }
+  CHECK(load.slowness <= 8);
+}
+
+TEST_CASE("a cold upstream gets its rate from its owner, and nothing else") {
+  ColdStart cold;
+  cold.rate = 4.5;
+  LearnCold(cold, seconds(3), kStart);
+  CHECK_FALSE(MayGetRequest(cold, kStart));
+  cold.owned = true;
+  // Over any second at most the rate and one more, whatever is asked for.
+  int sent = 0;
+  for (int ms = 0; ms < 3000; ms += 10) {
+    const TimePoint now = kStart + milliseconds(ms);
+    if (MayGetRequest(cold, now)) {
+      CountRequest(cold, now);
+      ++sent;
+    }
+  }
+  CHECK(sent >= 9);
+  CHECK(sent <= 3 * 4.5 + 1);
+  CHECK_FALSE(IsCold(cold, kStart + seconds(4)));
+  CHECK(MayGetRequest(cold, kStart + seconds(4)));
+}
+
+TEST_CASE("a rate of zero means that coldness does not matter") {
+  ColdStart cold;
+  LearnCold(cold, seconds(3), kStart);
+  CHECK(MayGetRequest(cold, kStart));
+}
+
+}  // namespace
+}  // namespace mimosagauge
--- /dev/null
+++ b/tests/unit/fleet_gateway_test.cc
@@ -0,0 +1,329 @@
+// Decisions about requests under the operators' configuration: what is tried,
+// how often, where, and what callers are told.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/support/fleet_gateway.h"
+
+namespace mimosagauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::Find;
+using testing::FleetGateway;
+using testing::FleetRequest;
+
+[[nodiscard]] FleetRequest To(const std::string& path) {
+  FleetRequest request;
+  request.path = path;
+  return request;
+}
+
+[[nodiscard]] FleetRequest Review() {
+  FleetRequest request = To("/quote/1");
+  request.prompt = {17020, 120, {{7, 13300}, {8, 3720}}};
+  return request;
+}
+
+TEST_CASE("a route decides where a request goes and how it is treated") {
+  struct Case {
+    std::string path;
+    std::uint16_t status;  // Zero: it goes to an upstream.
+    std::string service;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"/quote/1", 0, "engine"},
+      {"/size/1", 0, "engine"},
+      {"/status/1", 0, "desk"},
+      {"/nothing/1", 404, ""},
+  }));
+  CAPTURE(one.path);
+  FleetGateway world;
+  world.Upstream("engine-1", "engines");
+  world.Upstream("desk-1", "desk");
+  const auto [number, effects] = world.Request(To(one.path));
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  const auto problem = Find<SendProblem>(effects);
+  CHECK(start.has_value() == (one.status == 0));
+  CHECK((problem ? problem->problem.status : 0) == one.status);
+  if (start) {
+    CHECK(start->upstream.value().starts_with(one.service));
+  }
+}
+
+TEST_CASE("before any configuration is known requests are refused, not denied") {
+  Gateway gateway = MakeGateway({}, TimePoint{seconds(1)}, 1);
+  auto head = std::make_shared<RequestHead>();
+  head->target = "/";
+  const auto effects =
+      Step(gateway, TimePoint{seconds(1)},
+           RequestArrived{RequestNumber{2}, Origin::kCaller, head,
+                          std::make_shared<const std::string>()});
+  const auto problem = Find<SendProblem>(effects);
+  REQUIRE(problem);
+  CHECK(problem->problem.status == 503);
+  CHECK(problem->problem.run == RunState::kNotRun);
+}
+
+TEST_CASE("a configuration is never replaced by an older one") {
+  FleetGateway world;
+  const std::uint64_t revision = GENERATE(0U, 1U, 2U);
+  world.Give(CatalogueArrived{std::make_shared<const RouteCatalogue>(
+      FleetGateway::Catalogue(revision))});
+  CHECK(world.gateway().catalogue->revision ==
+        Revision{std::max<std::uint64_t>(1, revision)});
+}
+
+TEST_CASE("a request passed on under a newer configuration is not run here") {
+  FleetGateway world;
+  world.Upstream("engine-1", "engines");
+  FleetRequest request = To("/quote/1");
+  request.origin = Origin::kLink;
+  request.revision = Revision{2};
+  const auto [number, effects] = world.Request(request);
+  CHECK_FALSE(Find<StartUpstreamAttempt>(effects));
+  const auto problem = Find<SendProblem>(effects);
+  REQUIRE(problem);
+  CHECK(problem->problem.run == RunState::kNotRun);
+}
+
+// Runs are counted, whatever they ended in; refusals unrun are not runs.
+TEST_CASE("no request runs on more upstreams than its route allows") {
+  struct Case {
+    std::string path;
+    std::size_t runs;
+  };
+  const Case one = GENERATE(values<Case>(
+      {{"/status/1", 2}, {"/deposit/1", 1}, {"/quote/1", 1}, {"/size/1", 2}}));
+  const std::uint16_t status = GENERATE(std::uint16_t{500}, std::uint16_t{0});
+  CAPTURE(one.path, status);
+  FleetGateway world;
+  for (int i = 0; i < 5; ++i) {
+    world.Upstream("engine-" + std::to_string(i), "engines");
+    world.Upstream("desk-" + std::to_string(i), "desk");
+  }
+  auto [number, effects] = world.Request(To(one.path));
+  std::size_t runs = 0;
+  while (const auto start = Find<StartUpstreamAttempt>(effects)) {
+    REQUIRE(++runs <= 5);
+    effects = status == 0 ? world.Fail(start->attempt, RunState::kUnknown)
+                          : world.Answer(start->attempt, status);
+  }
+  CHECK(runs == one.runs);
+}
+
+TEST_CASE("a status that promises is given only to what was not run") {
+  struct Case {
+    RunState run;
+    std::uint16_t status;
+  };
+  const Case one = GENERATE(values<Case>({{RunState::kNotRun, 503},
+                                          {RunState::kUnknown, 502},
+                                          {RunState::kRan, 502}}));
+  FleetGateway world;
+  world.Upstream("desk-1", "desk");
+  const auto [number, effects] = world.Request(To("/deposit/1"));
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  REQUIRE(start);
+  const auto failed = world.Fail(start->attempt, one.run);
+  const auto problem = Find<SendProblem>(failed);
+  REQUIRE(problem);
+  CHECK(problem->problem.status == one.status);
+  CHECK(problem->problem.retry_after.has_value() == (one.status == 503));
+}
+
+TEST_CASE("an upstream that says it is another one is not asked again") {
+  FleetGateway world;
+  world.Upstream("desk-1", "desk");
+  const auto [number, effects] = world.Request(To("/deposit/1"));
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  REQUIRE(start);
+  AttemptFailed failed{start->attempt, RunState::kNotRun,
+                       {ErrorKind::kNotFound, "another", ""}, {}, true};
+  const auto after = world.Give(failed);
+  CHECK(Find<DropUpstream>(after));
+  const auto [next, refused] = world.Request(To("/deposit/1"));
+  CHECK_FALSE(Find<StartUpstreamAttempt>(refused));
+}
+
+TEST_CASE("an answer that has not begun when the time is over is told so") {
+  FleetGateway world;
+  world.Upstream("desk-1", "desk");
+  FleetRequest request = To("/deposit/1");
+  const auto [number, effects] = world.Request(request);
+  REQUIRE(Find<StartUpstreamAttempt>(effects));
+  CHECK_FALSE(Find<SendProblem>(world.Pass(milliseconds(1990))));
+  const auto late = world.Pass(milliseconds(20));
+  const auto problem = Find<SendProblem>(late);
+  REQUIRE(problem);
+  CHECK(problem->problem.status == 504);
+  CHECK(Find<CancelAttempt>(late));
+}
+
+TEST_CASE("an answer that has begun is broken off soon after its time is over") {
+  FleetGateway world;
+  world.Upstream("engine-1", "engines");
+  const auto [number, effects] = world.Request(To("/quote/1"));
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  REQUIRE(start);
+  world.Answer(start->attempt, 200, true);
+  CHECK_FALSE(Find<AbortAnswer>(world.Pass(seconds(10) + milliseconds(50))));
+  CHECK(Find<AbortAnswer>(world.Pass(milliseconds(150))));
+}
+
+// One engine that is behind by 12 s of reading, another region that is idle.
+TEST_CASE("a burst of long prompts goes to a region that is soon ready") {
+  FleetGateway world;
+  world.Upstream("engine-1", "engines");
+  CountPrompt(
+      FindUpstream(world.gateway().upstreams, UpstreamId{"engine-1"})->load,
+      600000, world.now());
+  const bool other_region = GENERATE(true, false);
+  if (other_region) {
+    world.Instance("mombasa-1", "mombasa");
+    world.Give(LoadTold{InstanceId{"mombasa-1"},
+                        {{}, {}, {{ServiceId{"engines"}, 4, milliseconds(20),
+                                   0.1}}}});
+  }
+  const auto [number, effects] = world.Request(Review());
+  CHECK(Find<StartLinkAttempt>(effects).has_value() == other_region);
+  const auto problem = Find<SendProblem>(effects);
+  REQUIRE(problem.has_value() != other_region);
+  if (problem) {
+    CHECK(problem->problem.status == 503);
+    CHECK(problem->problem.run == RunState::kNotRun);
+    // A third of the time left is the longest that callers wait.
+    REQUIRE(problem->problem.retry_after);
+    CHECK(*problem->problem.retry_after <= Duration(seconds(10)) / 3);
+    CHECK(*problem->problem.retry_after >= seconds(1));
+  }
+}
+
+TEST_CASE("a region that has nothing usable is offered nothing") {
+  FleetGateway world;
+  world.Instance("mombasa-1", "mombasa");
+  const std::uint32_t usable = GENERATE(0U, 1U);
+  world.Give(LoadTold{InstanceId{"mombasa-1"},
+                      {{}, {}, {{ServiceId{"engines"}, usable, {}, 0}}}});
+  const auto [number, effects] = world.Request(To("/quote/1"));
+  CHECK(Find<StartLinkAttempt>(effects).has_value() == (usable > 0));
+}
+
+TEST_CASE("a request stays in the regions of its route") {
+  FleetGateway world;
+  world.Instance("kisumu-1", "kisumu");
+  const auto [number, effects] = world.Request(To("/size/1"));
+  CHECK_FALSE(Find<StartLinkAttempt>(effects));
+  const auto problem = Find<SendProblem>(effects);
+  REQUIRE(problem);
+  CHECK(problem->problem.status == 503);
+}
+
+TEST_CASE("what another instance passed on goes no further") {
+  FleetGateway world;
+  world.Instance("kisumu-1", "kisumu");
+  FleetRequest request = To("/quote/1");
+  request.origin = Origin::kLink;
+  const auto [number, effects] = world.Request(request);
+  CHECK_FALSE(Find<StartLinkAttempt>(effects));
+}
+
+TEST_CASE("a failed lookup may be run by another region's service") {
+  FleetGateway world;
+  world.Upstream("desk-1", "desk");
+  world.Instance("mombasa-1", "mombasa");
+  const auto [number, effects] = world.Request(To("/status/1"));
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  REQUIRE(start);
+  const auto failed = world.Answer(start->attempt, 500);
+  CHECK(Find<StartLinkAttempt>(failed));
+}
+
+TEST_CASE("a request that waits for an upstream is told soon if none comes") {
+  FleetGateway world;
+  world.Upstream("engine-1", "engines", false, seconds(3));
+  FindUpstream(world.gateway().upstreams, UpstreamId{"engine-1"})->cold.owned =
+      false;
+  const auto [number, effects] = world.Request(To("/quote/1"));
+  CHECK_FALSE(Find<SendProblem>(effects));
+  const auto problem = Find<SendProblem>(world.Pass(milliseconds(500)));
+  REQUIRE(problem);
+  CHECK(problem->problem.status == 503);
+}
+
+TEST_CASE("retries of all instances together stay within what is allowed") {
+  const std::size_t others = GENERATE(0U, 5U, 40U);
+  FleetGateway world;
+  for (int i = 0; i < 9; ++i) {
+    world.Upstream("desk-" + std::to_string(i), "desk");
+  }
+  for (std::size_t i = 0; i < others; ++i) {
+    world.Instance("nairobi-x" + std::to_string(i), "nairobi");
+  }
+  std::size_t extra = 0;
+  constexpr std::size_t kRequests = 200;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    auto [number, effects] = world.Request(To("/status/1"));
+    auto start = Find<StartUpstreamAttempt>(effects);
+    while (start) {
+      effects = world.Fail(start->attempt, RunState::kUnknown);
+      start = Find<StartUpstreamAttempt>(effects);
+      extra += start ? 1 : 0;
+    }
+    // Failures in a row eject; that is not what is looked at here.
+    for (UpstreamState& upstream : world.gateway().upstreams.upstreams) {
+      upstream.ejected_until = TimePoint{};
+      upstream.failures = 0;
+    }
+  }
+  const double allowed =
+      0.2 * kRequests + 50.0 / static_cast<double>(others + 1);
+  CHECK(extra > 0);
+  CHECK(static_cast<double>(extra) <= allowed + 1);
+}
+
+TEST_CASE("callers are led to instances of their region, while it has any") {
+  FleetGateway world;
+  struct Case {
+    const char* what;
+    bool near_up;
+    bool near_leaving;
+    std::string host;
+    std::string expected;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"one is there", true, false, "nets.example", "kisumu-1"},
+      {"the only one leaves", false, true, "nets.example", "kisumu-1"},
+      {"none", false, false, "nets.example", "nairobi-1 mombasa-1"},
+      {"none, and the host has no homes", false, false, "else.example",
+       "nairobi-1 mombasa-1"},
+  }));
+  CAPTURE(one.what);
+  world.Instance("mombasa-1", "mombasa");
+  world.Instance("kisumu-1", "kisumu");
+  if (!one.near_up) {
+    world.Give(
+        LinkChanged{InstanceId{"kisumu-1"}, false, one.near_leaving});
+  }
+  const InstanceView view = View(world.gateway(), world.now());
+  std::string named;
+  for (const EntryInstance& entry :
+       EntriesFor(view, RegionId{"kisumu"}, one.host)) {
+    named += (named.empty() ? "" : " ") + entry.id.value();
+  }
+  CHECK(named == one.expected);
+}
+
+TEST_CASE("an instance whose registration lapsed stays while its link lives") {
+  FleetGateway world;
+  world.Instance("mombasa-1", "mombasa");
+  world.Give(InstanceRemoved{InstanceId{"mombasa-1"}});
+  CHECK(world.gateway().peers.size() == 1);
+  world.Give(LinkChanged{InstanceId{"mombasa-1"}, false});
+  CHECK(world.gateway().peers.empty());
+}
+
+}  // namespace
+}  // namespace mimosagauge
--- /dev/null
+++ b/tests/unit/placement_test.cc
@@ -0,0 +1,219 @@
+// Where requests go among upstreams, by the pattern of load.
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mimosagauge/impl/decisions/prefix_cache.h"
+#include "mimosagauge/impl/decisions/upstream_table.h"
+
+namespace mimosagauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+const ZoneId kZone{"nairobi-a"};
+const RegionId kRegion{"nairobi"};
+const ServiceId kEngines{"engines"};
+
+[[nodiscard]] UpstreamRecord Engine(const std::string& id) {
+  UpstreamRecord record;
+  record.config.id = UpstreamId{id};
+  record.config.service = kEngines;
+  record.config.zone = kZone;
+  record.config.concurrency = 64;
+  record.config.honours_resume = true;
+  return record;
+}
+
+[[nodiscard]] UpstreamTable Engines(int count) {
+  UpstreamTable table;
+  for (int i = 0; i < count; ++i) {
+    LearnUpstream(table, Engine("engine-" + std::to_string(i)),
+                  {UpstreamKind::kEngine, 128, 245000, 4.5}, kStart);
+  }
+  return table;
+}
+
+[[nodiscard]] Prompt Review(std::uint64_t script) {
+  return {17020, 120, {{script, 13300}, {script + 1000, 3720}}};
+}
+
+[[nodiscard]] std::string Choose(const UpstreamTable& table,
+                                 const Prompt& prompt, TimePoint now = kStart,
+                                 std::uint64_t draw = 0) {
+  UpstreamNeed need;
+  need.service = kEngines;
+  need.prompt = &prompt;
+  need.draw = draw;
+  need.spread = milliseconds(10);
+  const auto choice = ChooseUpstream(table, need, kZone, kRegion, now);
+  return choice ? choice->id.value() : "";
+}
+
+TEST_CASE("prompts with a shared part stay where it has been read") {
+  UpstreamTable table = Engines(8);
+  const std::string home = Choose(table, Review(7));
+  Touch(FindUpstream(table, UpstreamId{home})->cache, Review(7));
+  for (std::uint64_t draw = 0; draw < 20; ++draw) {
+    CHECK(Choose(table, Review(7), kStart, draw) == home);
+  }
+}
+
+TEST_CASE("instances that know nothing yet choose one upstream for a part") {
+  // Two tables: two instances with the same upstreams in another order.
+  UpstreamTable table = Engines(8);
+  UpstreamTable other;
+  for (int i = 7; i >= 0; --i) {
+    LearnUpstream(other, Engine("engine-" + std::to_string(i)),
+                  {UpstreamKind::kEngine, 128, 245000, 4.5}, kStart);
+  }
+  std::set<std::string> used;
+  for (std::uint64_t script = 1; script <= 40; ++script) {
+    const std::string choice = Choose(table, Review(script));
+    CHECK(choice == Choose(other, Review(script), kStart, 99));
+    used.insert(choice);
+  }
+  CHECK(used.size() >= 6);
+}
+
+TEST_CASE("a part is read a second time only where its upstream is far behind") {
+  const auto [queued, stays] = GENERATE(table<double, bool>({
+      {0, true}, {13300, true}, {30000, true}, {120000, false}}));
+  CAPTURE(queued);
+  UpstreamTable table = Engines(4);
+  const std::string home = Choose(table, Review(7));
+  UpstreamState* upstream = FindUpstream(table, UpstreamId{home});
+  Touch(upstream->cache, Review(7));
+  CountPrompt(upstream->load, queued, kStart);
+  CHECK((Choose(table, Review(7)) == home) == stays);
+}
+
+TEST_CASE("requests without a prompt spread over equal upstreams") {
+  const UpstreamTable table = Engines(6);
+  std::set<std::string> used;
+  for (std::uint64_t draw = 0; draw < 60; ++draw) {
+    used.insert(Choose(table, {}, kStart, draw));
+  }
+  CHECK(used.size() == 6);
+}
+
+TEST_CASE("what other instances have at an upstream counts as one's own") {
+  UpstreamTable table = Engines(2);
+  LearnForeign(FindUpstream(table, UpstreamId{"engine-0"})->load,
+               InstanceId{"other"}, {40, 60000, kStart}, 60000, kStart);
+  for (std::uint64_t draw = 0; draw < 10; ++draw) {
+    CHECK(Choose(table, {}, kStart, draw) == "engine-1");
+  }
+  SECTION("until that instance has been silent for long") {
+    std::set<std::string> used;
+    for (std::uint64_t draw = 0; draw < 30; ++draw) {
+      used.insert(Choose(table, {}, kStart + seconds(30), draw));
+    }
+    CHECK(used.size() == 2);
+  }
+}
+
+TEST_CASE("upstreams that must not get work get none") {
+  struct Case {
+    const char* what;
+    void (*change)(UpstreamTable&);
+    bool usable;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"nothing happened", [](UpstreamTable&) {}, true},
+      {"it leaves",
+       [](UpstreamTable& table) {
+         UpstreamRecord record = Engine("engine-0");
+         record.leaving = true;
+         LearnUpstream(table, record, {UpstreamKind::kEngine, 128, 0, 4.5},
+                       kStart);
+       },
+       false},
+      {"it leaves and its own word comes late",
+       [](UpstreamTable& table) {
+         UpstreamRecord record = Engine("engine-0");
+         record.leaving = true;
+         LearnUpstream(table, record, {UpstreamKind::kEngine, 128, 0, 4.5},
+                       kStart);
+         record.leaving = false;
+         LearnUpstream(table, record, {UpstreamKind::kEngine, 128, 0, 4.5},
+                       kStart);
+       },
+       false},
+      {"it left and started anew",
+       [](UpstreamTable& table) {
+         UpstreamRecord record = Engine("engine-0");
+         record.leaving = true;
+         LearnUpstream(table, record, {UpstreamKind::kEngine, 128, 0, 4.5},
+                       kStart);
+         record.leaving = false;
+         record.config.incarnation = Incarnation{2};
+         LearnUpstream(table, record, {UpstreamKind::kEngine, 128, 0, 4.5},
+                       kStart);
+       },
+       true},
+      {"its zone is evacuated",
+       [](UpstreamTable& table) { Evacuate(table, kZone, true); }, false},
+      {"another zone is evacuated",
+       [](UpstreamTable& table) { Evacuate(table, ZoneId{"x"}, true); }, true},
+      {"it is gone",
+       [](UpstreamTable& table) {
+         CHECK(ForgetUpstream(table, UpstreamId{"engine-0"}));
+       },
+       false},
+      {"it is cold and another instance's",
+       [](UpstreamTable& table) {
+         UpstreamRecord record = Engine("engine-0");
+         record.cold_left = seconds(3);
+         LearnUpstream(table, record, {UpstreamKind::kEngine, 128, 0, 4.5},
+                       kStart);
+       },
+       false},
+  }));
+  CAPTURE(one.what);
+  UpstreamTable table = Engines(1);
+  one.change(table);
+  CHECK((Choose(table, {}) == "engine-0") == one.usable);
+}
+
+TEST_CASE("a restarted engine has lost what it kept") {
+  UpstreamTable table = Engines(1);
+  UpstreamState* engine = FindUpstream(table, UpstreamId{"engine-0"});
+  Touch(engine->cache, Review(7));
+  CHECK(TokensToRead(engine->cache, Review(7)) == 3720);
+  UpstreamRecord record = Engine("engine-0");
+  record.config.incarnation = Incarnation{2};
+  LearnUpstream(table, record, {UpstreamKind::kEngine, 128, 245000, 4.5},
+                kStart);
+  CHECK(TokensToRead(engine->cache, Review(7)) == 17020);
+}
+
+TEST_CASE("the parts used longest ago yield") {
+  PrefixCache cache;
+  cache.capacity = 30000;
+  Touch(cache, Review(1));
+  Touch(cache, Review(2));
+  Touch(cache, Review(1));
+  Touch(cache, Review(3));
+  CHECK(TokensToRead(cache, Review(1)) == 3720);
+  CHECK(TokensToRead(cache, Review(2)) == 17020);
+  CHECK(TokensToRead(cache, Review(3)) == 3720);
+  CHECK(cache.held <= cache.capacity);
+}
+
+TEST_CASE("a part behind one that is not kept is of no use") {
+  PrefixCache cache;
+  cache.capacity = 100000;
+  const Prompt chain{5000, 10, {{1, 2000}, {2, 2000}, {3, 1000}}};
+  Touch(cache, PromptPart{2, 2000});
+  CHECK(TokensToRead(cache, chain) == 5000);
+  Touch(cache, PromptPart{1, 2000});
+  CHECK(TokensToRead(cache, chain) == 1000);
+}
+
+}  // namespace
+}  // namespace mimosagauge
