The runs of a request travel with it between instances

Ruled out: refused attempts (they are not counted by the rule). Change: the count of runs is part of a forwarded request (protocol version 3); what another instance may have run counts as all that was left.

--- a/include/mimosagauge/impl/decisions/request.h
+++ b/include/mimosagauge/impl/decisions/request.h
@@ -76,6 +76,7 @@
   Revision revision;        ///< Rules under which the sender allowed it.
   bool stream = false;      ///< The caller asked for server-sent events.
   Prompt prompt;            ///< Of a generation that says so.
+  std::size_t runs = 0;     ///< Upstreams that may have run it before.
   /// The caller has the events up to this one of a stream that broke.
   std::optional<std::string> resume_after;
 };
--- a/include/mimosagauge/impl/wire/peer_generated.h
+++ b/include/mimosagauge/impl/wire/peer_generated.h
@@ -615,7 +615,8 @@
     VT_TOKENS_IN = 42,
     VT_TOKENS_OUT = 44,
     VT_PARTS = 46,
-    VT_RESUME_AFTER = 48
+    VT_RESUME_AFTER = 48,
+    VT_RUNS = 50
   };
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
@@ -686,6 +687,9 @@
   const flatbuffers::String *resume_after() const {
     return GetPointer<const flatbuffers::String *>(VT_RESUME_AFTER);
   }
+  uint8_t runs() const {
+    return GetField<uint8_t>(VT_RUNS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
@@ -728,6 +732,7 @@
            verifier.VerifyVector(parts()) &&
            VerifyOffset(verifier, VT_RESUME_AFTER) &&
            verifier.VerifyString(resume_after()) &&
+           VerifyField<uint8_t>(verifier, VT_RUNS, 1) &&
            verifier.EndTable();
   }
 };
@@ -805,6 +810,9 @@
   void add_resume_after(flatbuffers::Offset<flatbuffers::String> resume_after) {
     fbb_.AddOffset(Request::VT_RESUME_AFTER, resume_after);
   }
+  void add_runs(uint8_t runs) {
+    fbb_.AddElement<uint8_t>(Request::VT_RUNS, runs, 0);
+  }
   explicit RequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -843,7 +851,8 @@
     uint32_t tokens_in = 0,
     uint32_t tokens_out = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PromptPart *>> parts = 0,
-    flatbuffers::Offset<flatbuffers::String> resume_after = 0) {
+    flatbuffers::Offset<flatbuffers::String> resume_after = 0,
+    uint8_t runs = 0) {
   RequestBuilder builder_(_fbb);
   builder_.add_credit(credit);
   builder_.add_body_size(body_size);
@@ -867,6 +876,7 @@
   builder_.add_account_home(account_home);
   builder_.add_account(account);
   builder_.add_id(id);
+  builder_.add_runs(runs);
   builder_.add_streaming(streaming);
   return builder_.Finish();
 }
@@ -900,7 +910,8 @@
     uint32_t tokens_in = 0,
     uint32_t tokens_out = 0,
     const std::vector<mimosagauge::wire::PromptPart> *parts = nullptr,
-    const char *resume_after = nullptr) {
+    const char *resume_after = nullptr,
+    uint8_t runs = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto account__ = account ? _fbb.CreateString(account) : 0;
   auto account_home__ = account_home ? _fbb.CreateString(account_home) : 0;
@@ -940,7 +951,8 @@
       tokens_in,
       tokens_out,
       parts__,
-      resume_after__);
+      resume_after__,
+      runs);
 }
 
 struct RequestBody FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -260,6 +260,7 @@
   record.arrived = turn.now;
   record.draw = std::uniform_real_distribution<double>()(gateway.random);
   record.last_event_id = arrival.head->resume_after;
+  record.runs = arrival.head->runs;
   record.passed = arrival.head->path;
   record.passed.push_back(Here(gateway));
   record.arrival = std::move(arrival);
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -308,6 +308,20 @@
   Close(turn, number);
 }
 
+namespace {
+
+// Another instance may have used up what the route allows.
+void CountRun(RequestRecord& record, RunState run) {
+  if (run == RunState::kNotRun) {
+    return;
+  }
+  record.runs = OnUpstream(record)
+                    ? record.runs + 1
+                    : std::max(record.runs + 1, record.verdict.attempts);
+}
+
+}  // namespace
+
 void Handle(Turn& turn, AttemptFailed&& event) {
   RequestRecord* record = FindRunning(turn.gateway, event.attempt);
   if (record == nullptr) {
@@ -320,7 +334,7 @@
     Learn(record->outcome, RunState::kUnknown);
   }
   record->last_failure = event.error.message;
-  record->runs += event.run == RunState::kNotRun ? 0 : 1;
+  CountRun(*record, event.run);
   FinishAttempt(turn, *record, [&](const UpstreamId& id) {
     NoteFailure(turn, id);
     if (event.misdirected) {
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -196,6 +196,7 @@
     head->service = record.verdict.service;
   }
   head->remaining = record.due - turn.now;
+  head->runs = record.runs;
   StartLinkAttempt start;
   start.attempt =
       BeginAttempt(turn, record, peer.id, {peer.region, peer.id.value()});
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -146,7 +146,8 @@
         entry_region, service, model, method, target, headers, key, digest,
         head.remaining.count(), path, head.revision.value(), head.stream,
         request.body_size.count(), request.credit.count(), host,
-        prompt.tokens_in, prompt.tokens_out, parts, resume_after));
+        prompt.tokens_in, prompt.tokens_out, parts, resume_after,
+        route_fields ? static_cast<std::uint8_t>(head.runs) : 0));
     return FrameType::kRequest;
   }
   FrameType operator()(const RequestBodyMessage& body) const {
@@ -320,6 +321,7 @@
       head.prompt.parts.push_back({part->id(), part->tokens()});
     }
   }
+  head.runs = table.runs();
   head.resume_after = OptionalText(table.resume_after());
   request.body_size = Bytes{table.body_size()};
   request.credit = Bytes{table.credit()};
--- a/tests/support/fleet_gateway.cc
+++ b/tests/support/fleet_gateway.cc
@@ -127,6 +127,7 @@
   head->remaining = request.remaining;
   head->prompt = request.prompt;
   head->revision = request.revision;
+  head->runs = request.runs;
   if (request.origin == Origin::kLink) {
     head->path = {{RegionId{"mombasa"}, "mombasa-1"}};
   }
--- a/tests/support/fleet_gateway.h
+++ b/tests/support/fleet_gateway.h
@@ -21,6 +21,7 @@
   Origin origin = Origin::kCaller;
   Duration remaining = std::chrono::seconds(10);
   Prompt prompt;
+  std::size_t runs = 0;  ///< Elsewhere, before; from another instance only.
   Revision revision{1};  ///< Of the sender; from another instance only.
 };
 
--- a/tests/unit/fleet_gateway_test.cc
+++ b/tests/unit/fleet_gateway_test.cc
@@ -241,6 +241,39 @@
   CHECK(Find<StartLinkAttempt>(failed));
 }
 
+// The count travels with the request: what ran in one region is not forgotten
+// in the next.
+TEST_CASE("runs in all regions together stay within what the route allows") {
+  const std::size_t before = GENERATE(0U, 1U);
+  FleetGateway world;
+  for (int i = 0; i < 4; ++i) {
+    world.Upstream("desk-" + std::to_string(i), "desk");
+  }
+  FleetRequest request = To("/status/1");
+  request.origin = Origin::kLink;
+  request.runs = before;
+  auto [number, effects] = world.Request(request);
+  std::size_t runs = before;
+  while (const auto start = Find<StartUpstreamAttempt>(effects)) {
+    REQUIRE(++runs <= 4);
+    effects = world.Answer(start->attempt, 500);
+  }
+  CHECK(runs == 2);
+}
+
+TEST_CASE("what another region ran is not tried again here") {
+  FleetGateway world;
+  world.Instance("mombasa-1", "mombasa");
+  const auto [number, effects] = world.Request(To("/status/1"));
+  const auto forwarded = Find<StartLinkAttempt>(effects);
+  REQUIRE(forwarded);
+  world.Upstream("desk-1", "desk");
+  const RunState run = GENERATE(RunState::kNotRun, RunState::kUnknown);
+  const auto after = world.Fail(forwarded->attempt, run);
+  CHECK(Find<StartUpstreamAttempt>(after).has_value() ==
+        (run == RunState::kNotRun));
+}
+
 TEST_CASE("a request that waits for an upstream is told soon if none comes") {
   FleetGateway world;
   world.Upstream("engine-1", "engines", false, seconds(3));
--- a/tests/unit/link_encoding_test.cc
+++ b/tests/unit/link_encoding_test.cc
@@ -34,6 +34,7 @@
   request.head.host = "nets.example";
   request.head.prompt = {1460, 80, {{0x5c1e07a2, 800}, {0x91bd3f06, 410}}};
   request.head.resume_after = "12";
+  request.head.runs = 1;
   request.body_size = Bytes{4};
   request.credit = Kibibytes(16);
   Problem problem;
@@ -128,6 +129,7 @@
   const auto& request = std::get<RequestMessage>(messages[3]);
   CHECK((request.head.host == "nets.example") == (version >= 3));
   CHECK(request.head.prompt.parts.size() == (version >= 3 ? 2U : 0U));
+  CHECK(request.head.runs == (version >= 3 ? 1U : 0U));
   CHECK(request.head.resume_after.has_value() == (version >= 3));
   CHECK(request.head.key == IdempotencyKey{"order-1"});
   CHECK(request.head.remaining == std::chrono::seconds(5));
