--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -120,8 +120,8 @@
 inline constexpr LogEvent kRegistrationLost{
     7004, LogLevel::kWarning, "the registration of this instance has lapsed",
     "none; it is made again"};
-inline constexpr LogEvent kSettingsReread{
-    1005, LogLevel::kInfo, "the settings were read again", ""};
+inline constexpr LogEvent kSettingsReread{1005, LogLevel::kInfo,
+                                          "the settings were read again", ""};
 inline constexpr LogEvent kSettingsRefused{
     1006, LogLevel::kWarning, "changed settings do not hold and are left aside",
     "mend the fault; the settings read before stay in force"};
--- a/include/mimosagauge/impl/decisions/cold_start.h
+++ b/include/mimosagauge/impl/decisions/cold_start.h
@@ -11,10 +11,10 @@
 
 /// \brief What one instance may send to a cold upstream.
 struct ColdStart {
-  TimePoint until{};     ///< Cold before it.
-  bool owned = false;    ///< This instance sends to it while it is cold.
-  double rate = 0;       ///< Requests a second it bears; zero: any number.
-  double tokens = 0;     ///< Requests that may be sent now; at most `kBurst`.
+  TimePoint until{};      ///< Cold before it.
+  bool owned = false;     ///< This instance sends to it while it is cold.
+  double rate = 0;        ///< Requests a second it bears; zero: any number.
+  double tokens = 0;      ///< Requests that may be sent now; at most `kBurst`.
   TimePoint filled_at{};  ///< When `tokens` was last brought up to date.
 
   /// Requests sent at once after a pause. One, so that two owners during a
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -127,17 +127,16 @@
 using ClaimStoreEffect = std::variant<LoadSlot, CommitClaims>;
 
 /// For the duty that talks to upstreams.
-using UpstreamEffect =
-    std::variant<StartUpstreamAttempt, CancelAttempt, CreditAttempt,
-                 UseUpstream, DropUpstream>;
+using UpstreamEffect = std::variant<StartUpstreamAttempt, CancelAttempt,
+                                    CreditAttempt, UseUpstream, DropUpstream>;
 /// For the duty that talks to callers.
 using CallerEffect = std::variant<SendAnswerHead, SendAnswerBody, SendAnswerEnd,
                                   AbortAnswer, SendProblem, PublishView>;
 /// For the duty that keeps links to other instances.
-using LinkEffect = std::variant<StartLinkAttempt, CancelAttempt, CreditAttempt,
-                                SendAnswerHead, SendAnswerBody, SendAnswerEnd,
-                                AbortAnswer, SendProblem, SendGossip, SendLoad,
-                                UseInstance, DropInstance>;
+using LinkEffect =
+    std::variant<StartLinkAttempt, CancelAttempt, CreditAttempt, SendAnswerHead,
+                 SendAnswerBody, SendAnswerEnd, AbortAnswer, SendProblem,
+                 SendGossip, SendLoad, UseInstance, DropInstance>;
 
 /// \brief Any effect, with the duty it is for.
 struct ForUpstreams {
--- a/include/mimosagauge/impl/decisions/engine_load.h
+++ b/include/mimosagauge/impl/decisions/engine_load.h
@@ -28,7 +28,7 @@
   double prompt_tokens_per_ms = 50;                      ///< Read by prefill.
   Duration first_token = std::chrono::milliseconds(15);  ///< Without a queue.
   Duration step = std::chrono::milliseconds(8);  ///< Of all running, one token.
-  double chunk_tokens = 4096;  ///< Read between two steps.
+  double chunk_tokens = 4096;                    ///< Read between two steps.
   Duration plain_service = std::chrono::milliseconds(40);  ///< Of a plain one.
 };
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -36,7 +36,7 @@
   std::variant<UpstreamId, InstanceId> target;
   TimePoint started{};
   Expectation expected;
-  double prompt_tokens = 0;   ///< Counted as unread at its upstream.
+  double prompt_tokens = 0;  ///< Counted as unread at its upstream.
   bool answered = false;
 };
 
@@ -64,7 +64,7 @@
   std::optional<Attempt> running;     ///< At most one at a time.
   std::optional<WaitingPlace> place;  ///< Set while it waits for an upstream.
   TimePoint wait_until{};  ///< Then it is refused; set while it waits.
-  bool resuming = false;  ///< The attempt continues an answer begun before.
+  bool resuming = false;   ///< The attempt continues an answer begun before.
   std::optional<std::string> last_event_id;  ///< Passed on to the caller.
   bool resumable = false;                    ///< The answer is a stream.
   Bytes untaken;  ///< Sent to the other side and not taken yet.
@@ -92,7 +92,7 @@
   std::shared_ptr<const RuleSet> rules;  ///< Null until the first arrive.
   /// Decides in place of the rules once there is one.
   std::shared_ptr<const RouteCatalogue> catalogue;
-  RulesSpread spread;                    ///< Its rules are `rules`.
+  RulesSpread spread;  ///< Its rules are `rules`.
   UpstreamTable upstreams;
   /// What each learned upstream said last, for a change of the catalogue.
   std::unordered_map<UpstreamId, UpstreamRecord> records;
--- a/include/mimosagauge/impl/decisions/prefix_cache.h
+++ b/include/mimosagauge/impl/decisions/prefix_cache.h
@@ -20,8 +20,8 @@
 struct PrefixCache {
   /// Tokens of shared parts that the engine keeps beside running requests.
   std::uint64_t capacity = 0;
-  std::uint64_t held = 0;          ///< At most `capacity`.
-  std::list<PromptPart> by_use;    ///< The most recently used first.
+  std::uint64_t held = 0;        ///< At most `capacity`.
+  std::list<PromptPart> by_use;  ///< The most recently used first.
   /// Where each part stands in `by_use`.
   std::unordered_map<std::uint64_t, std::list<PromptPart>::iterator> index;
 };
--- a/include/mimosagauge/impl/decisions/retry_budget.h
+++ b/include/mimosagauge/impl/decisions/retry_budget.h
@@ -28,7 +28,7 @@
 /// \brief Gives this instance its part of what all may spend.
 /// \param instances That may be spending now, this one included.
 void ShareBudget(RetryBudget& budget, const SharedRetryBudget& shared,
-           std::size_t instances) noexcept;
+                 std::size_t instances) noexcept;
 
 /// \brief Counts a first attempt.
 void Earn(RetryBudget& budget) noexcept;
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -53,9 +53,9 @@
 /// \brief What an upstream must offer.
 struct UpstreamNeed {
   ServiceId service;
-  ModelId model;             ///< Empty: any.
-  bool resume = false;       ///< It has to continue a broken stream.
-  std::vector<Place> avoid;  ///< Places that the request has passed.
+  ModelId model;                   ///< Empty: any.
+  bool resume = false;             ///< It has to continue a broken stream.
+  std::vector<Place> avoid;        ///< Places that the request has passed.
   const Prompt* prompt = nullptr;  ///< Null: nothing is known of its size.
   std::uint64_t draw = 0;          ///< Tells equal upstreams apart.
   Duration spread{};  ///< Differences below it are left to the draw.
@@ -65,7 +65,7 @@
 struct UpstreamChoice {
   UpstreamId id;
   Expectation expected;
-  double prompt_tokens = 0;    ///< That the upstream has to read.
+  double prompt_tokens = 0;  ///< That the upstream has to read.
 };
 
 /// \returns The table, with nothing in flight.
@@ -92,8 +92,8 @@
 /// \brief What the table has to know to take in a record.
 struct UpstreamTerms {
   UpstreamKind kind = UpstreamKind::kPlain;
-  std::size_t limit = 1;              ///< Own attempts it may run at once.
-  std::uint64_t cache_capacity = 0;   ///< Tokens of shared parts.
+  std::size_t limit = 1;             ///< Own attempts it may run at once.
+  std::uint64_t cache_capacity = 0;  ///< Tokens of shared parts.
   double cold_rate = 0;  ///< Requests a second while cold; zero: any number.
 };
 
--- a/include/mimosagauge/impl/duties/callers/dialect.h
+++ b/include/mimosagauge/impl/duties/callers/dialect.h
@@ -18,7 +18,7 @@
 
 /// \brief What a listener is for.
 enum class ListenerKind : std::uint8_t {
-  kCallers,   ///< Requests, for upstreams mostly.
+  kCallers,    ///< Requests, for upstreams mostly.
   kResources,  ///< The instance's own resources, and nothing else.
 };
 
--- a/include/mimosagauge/impl/duties/callers/server.h
+++ b/include/mimosagauge/impl/duties/callers/server.h
@@ -8,10 +8,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <list>
 #include <unordered_set>
 #include <variant>
 #include <vector>
--- a/include/mimosagauge/impl/duties/instance.h
+++ b/include/mimosagauge/impl/duties/instance.h
@@ -27,9 +27,9 @@
 
 /// \brief Runs an instance until it is told to stop and has finished.
 ///
-/// SIGHUP reads the settings file again. SIGTERM or SIGINT begins a graceful shutdown; a second one ends at once.
-/// \returns Whether everything in progress was finished; an error when the
-/// instance could not start.
+/// SIGHUP reads the settings file again. SIGTERM or SIGINT begins a graceful
+/// shutdown; a second one ends at once. \returns Whether everything in progress
+/// was finished; an error when the instance could not start.
 [[nodiscard]] Result<bool> RunInstance(const Settings& settings,
                                        const Dialects& dialects = {});
 
--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -93,14 +93,14 @@
   Mailbox<Event>& decisions_;
   FleetTimes times_;
   std::string instances_prefix_;
-  std::vector<std::string> prefixes_;  // All that is read.
+  std::vector<std::string> prefixes_;   // All that is read.
   std::shared_ptr<StoreClient> store_;  // Null while stopped.
   boost::asio::steady_timer watch_timer_;
   boost::asio::steady_timer renewal_timer_;
   boost::asio::steady_timer missing_timer_;
-  LeaseId lease_;         // Of the registration; zero: none.
+  LeaseId lease_;  // Of the registration; zero: none.
   bool leaving_ = false;
-  StoreRevision seen_;    // The watch has told everything up to this.
+  StoreRevision seen_;  // The watch has told everything up to this.
   /// Entries told to the decisions, by key, with their revision.
   std::unordered_map<std::string, StoreRevision> known_;
   /// Found by the reading that is under way.
@@ -109,7 +109,7 @@
   /// Entries that were missing after an outage, and until when they may
   /// come back.
   std::unordered_map<std::string, Clock::time_point> missing_;
-  bool reachable_ = true;        // As last logged.
+  bool reachable_ = true;         // As last logged.
   Clock::time_point contact_at_;  // Last answer of any kind.
   Clock::time_point outage_ended_at_;
 };
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -136,8 +136,8 @@
   InstanceId instance;
   RegionId region;
   ZoneId zone;
-  Endpoint entry;      ///< Listens here for callers.
-  Endpoint peer;       ///< Listens here for other instances.
+  Endpoint entry;  ///< Listens here for callers.
+  Endpoint peer;   ///< Listens here for other instances.
   /// Listens here for operators; not at all where it has no address.
   Endpoint operators;
   /// Listen here for questions about readiness, for the directory and for
@@ -147,7 +147,7 @@
   std::optional<Endpoint> metrics;
   PlatformDialect dialect = PlatformDialect::kOwn;
   Duration session = std::chrono::seconds(4);  ///< Lease of a registration.
-  bool one_thread = false;  ///< All duties share one event loop.
+  bool one_thread = false;   ///< All duties share one event loop.
   bool plain_links = false;  ///< Links need no TLS: the network is trusted.
   RetrySettings retries;
   EngineSettings engines;
--- a/src/decisions/cold_start.cc
+++ b/src/decisions/cold_start.cc
@@ -13,9 +13,8 @@
 
 [[nodiscard]] double TokensAt(const ColdStart& cold, TimePoint now) noexcept {
   const std::chrono::duration<double> passed = now - cold.filled_at;
-  return std::min(ColdStart::kBurst,
-                  cold.tokens + passed.count() * cold.rate *
-                                    ColdStart::kUsedShare);
+  return std::min(ColdStart::kBurst, cold.tokens + passed.count() * cold.rate *
+                                                       ColdStart::kUsedShare);
 }
 
 }  // namespace
--- a/src/decisions/engine_load.cc
+++ b/src/decisions/engine_load.cc
@@ -67,8 +67,7 @@
 [[nodiscard]] Duration GenerationTime(double tokens, double reading,
                                       const EngineSpeeds& speeds,
                                       double slowness) {
-  const Duration slow =
-      speeds.step + ReadingTime(speeds.chunk_tokens, speeds);
+  const Duration slow = speeds.step + ReadingTime(speeds.chunk_tokens, speeds);
   const double steps_per_ns =
       (1 - reading) / static_cast<double>(speeds.step.count()) +
       reading / static_cast<double>(slow.count());
@@ -142,8 +141,8 @@
       others.unread_tokens += foreign.unread_tokens;
     }
   }
-  const bool reported = load.reported_at != TimePoint{} &&
-                        now - load.reported_at <= kReportLife;
+  const bool reported =
+      load.reported_at != TimePoint{} && now - load.reported_at <= kReportLife;
   if (told || !reported) {
     return others;
   }
@@ -172,10 +171,9 @@
       Scaled(reading, load.slowness) +
       Scaled(kGeneration, beyond / static_cast<double>(asked.slots));
   expectation.reading = Reading(load, question.prompt_tokens, speeds, now);
-  expectation.end =
-      expectation.start + GenerationTime(question.output_tokens,
-                                         expectation.reading, speeds,
-                                         load.slowness);
+  expectation.end = expectation.start + GenerationTime(question.output_tokens,
+                                                       expectation.reading,
+                                                       speeds, load.slowness);
   return expectation;
 }
 
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -265,8 +265,7 @@
   record.passed.push_back(Here(gateway));
   record.arrival = std::move(arrival);
   record.verdict = VerdictFor(gateway, record);
-  record.due =
-      DueTime(gateway, record.verdict, *record.arrival.head, turn.now);
+  record.due = DueTime(gateway, record.verdict, *record.arrival.head, turn.now);
   const RequestNumber number = record.arrival.number;
   ++MetricsOf(gateway, record).requests;
   if (record.arrival.origin == Origin::kCaller) {
@@ -335,12 +334,12 @@
     }
   }
   ShareOut(turn.gateway);
-  const bool unlisted = std::any_of(
-      turn.gateway.peers.begin(), turn.gateway.peers.end(),
-      [&event](const PeerState& peer) {
-        return peer.config.id == event.instance && !peer.up && !peer.leaving &&
-               !peer.listed;
-      });
+  const bool unlisted =
+      std::any_of(turn.gateway.peers.begin(), turn.gateway.peers.end(),
+                  [&event](const PeerState& peer) {
+                    return peer.config.id == event.instance && !peer.up &&
+                           !peer.leaving && !peer.listed;
+                  });
   if (unlisted) {
     Handle(turn, InstanceRemoved{event.instance});
   }
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -74,8 +74,8 @@
     return record.attempts < turn.gateway.config.limits.attempts &&
            record.due > turn.now;
   }
-  return record.runs < allowed &&
-         record.attempts < allowed + kRefusalsBeside && record.due > turn.now;
+  return record.runs < allowed && record.attempts < allowed + kRefusalsBeside &&
+         record.due > turn.now;
 }
 
 // Whether the upstream was given the request, also if it refused it.
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -28,9 +28,7 @@
   return peer.config.region == gateway.config.region;
 }
 
-[[nodiscard]] bool TakesWord(const PeerState& peer) {
-  return peer.up;
-}
+[[nodiscard]] bool TakesWord(const PeerState& peer) { return peer.up; }
 
 [[nodiscard]] std::uint32_t Whole(double number) {
   return static_cast<std::uint32_t>(std::max(0.0, number));
@@ -71,11 +69,10 @@
 }
 
 [[nodiscard]] std::size_t CountPeers(const Gateway& gateway, bool near) {
-  return static_cast<std::size_t>(
-      std::count_if(gateway.peers.begin(), gateway.peers.end(),
-                    [&](const PeerState& peer) {
-                      return TakesWord(peer) && IsNear(gateway, peer) == near;
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      gateway.peers.begin(), gateway.peers.end(), [&](const PeerState& peer) {
+        return TakesWord(peer) && IsNear(gateway, peer) == near;
+      }));
 }
 
 [[nodiscard]] bool HasFreshOffers(const PeerState& peer, TimePoint now) {
@@ -151,10 +148,10 @@
   for (const UpstreamShare& share : event.digest.shares) {
     UpstreamState* upstream = FindUpstream(gateway.upstreams, share.upstream);
     if (upstream != nullptr) {
-      LearnForeign(upstream->load, event.from,
-                   {share.in_flight, static_cast<double>(share.unread_tokens),
-                    turn.now},
-                   share.sent_tokens, turn.now);
+      LearnForeign(
+          upstream->load, event.from,
+          {share.in_flight, static_cast<double>(share.unread_tokens), turn.now},
+          share.sent_tokens, turn.now);
     }
   }
   for (const PartRead& read : event.digest.parts) {
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -233,8 +233,7 @@
                                   : RemoteChoice{};
   if (remote.peer != nullptr &&
       (!local || remote.expected.start < local->expected.start)) {
-    if (gateway.catalogue == nullptr ||
-        FitsIn(turn, record, remote.expected)) {
+    if (gateway.catalogue == nullptr || FitsIn(turn, record, remote.expected)) {
       return StartOnInstance(turn, record, *remote.peer);
     }
   }
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -35,7 +35,8 @@
     terms.kind = UpstreamKind::kEngine;
     terms.limit = record.config.concurrency * kEngineQueueFactor;
     terms.cache_capacity = static_cast<std::uint64_t>(
-        kSharedMemoryPart * static_cast<double>(profile->engine->memory_tokens));
+        kSharedMemoryPart *
+        static_cast<double>(profile->engine->memory_tokens));
   }
   return terms;
 }
@@ -83,9 +84,9 @@
   if (gateway.catalogue == nullptr) {
     return;
   }
-  const auto up = static_cast<std::size_t>(std::count_if(
-      gateway.peers.begin(), gateway.peers.end(),
-      [](const PeerState& peer) { return peer.up; }));
+  const auto up = static_cast<std::size_t>(
+      std::count_if(gateway.peers.begin(), gateway.peers.end(),
+                    [](const PeerState& peer) { return peer.up; }));
   const std::size_t instances = std::max(up, gateway.peers.size()) + 1;
   const GatewayLimits& limits = gateway.config.limits;
   for (auto& [service, budget] : gateway.budgets) {
@@ -111,10 +112,10 @@
     TakeIn(turn, record);
   }
   ShareOut(gateway);
-  turn.effects.emplace_back(
-      WriteLog{log_events::kConfigurationAdopted,
-               {{"version", std::to_string(gateway.catalogue->revision.value())},
-                {"routes", std::to_string(gateway.catalogue->routes.size())}}});
+  turn.effects.emplace_back(WriteLog{
+      log_events::kConfigurationAdopted,
+      {{"version", std::to_string(gateway.catalogue->revision.value())},
+       {"routes", std::to_string(gateway.catalogue->routes.size())}}});
 }
 
 void Handle(Turn& turn, UpstreamLearned&& event) {
@@ -173,10 +174,9 @@
     }
   }
   gateway.all_freed = true;
-  turn.effects.emplace_back(
-      WriteLog{log_events::kZoneEvacuated,
-               {{"zone", event.zone.value()},
-                {"evacuated", event.on ? "yes" : "no"}}});
+  turn.effects.emplace_back(WriteLog{
+      log_events::kZoneEvacuated,
+      {{"zone", event.zone.value()}, {"evacuated", event.on ? "yes" : "no"}}});
 }
 
 void Handle(Turn& turn, InstanceLearned&& event) {
@@ -195,21 +195,19 @@
     known->config = event.peer;
     known->listed = true;
   }
-  turn.effects.emplace_back(
-      WriteLog{log_events::kInstanceLearned,
-               {{"peer", event.peer.id.value()},
-                {"zone", event.peer.zone.value()},
-                {"address", ToString(event.peer.link)}}});
+  turn.effects.emplace_back(WriteLog{log_events::kInstanceLearned,
+                                     {{"peer", event.peer.id.value()},
+                                      {"zone", event.peer.zone.value()},
+                                      {"address", ToString(event.peer.link)}}});
   turn.effects.emplace_back(ForLinks{UseInstance{std::move(event.peer)}});
   ShareOut(gateway);
 }
 
 void Handle(Turn& turn, InstanceRemoved&& event) {
   Gateway& gateway = turn.gateway;
-  const auto known = std::find_if(gateway.peers.begin(), gateway.peers.end(),
-                                  [&event](const PeerState& peer) {
-                                    return peer.config.id == event.id;
-                                  });
+  const auto known = std::find_if(
+      gateway.peers.begin(), gateway.peers.end(),
+      [&event](const PeerState& peer) { return peer.config.id == event.id; });
   if (known == gateway.peers.end()) {
     return;
   }
--- a/src/decisions/retry_budget.cc
+++ b/src/decisions/retry_budget.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 void ShareBudget(RetryBudget& budget, const SharedRetryBudget& shared,
-           std::size_t instances) noexcept {
+                 std::size_t instances) noexcept {
   const auto parts = static_cast<double>(std::max<std::size_t>(1, instances));
   budget.most = std::max(RetryBudget::kCost, shared.slack * kUsedShare / parts);
   budget.earned = shared.ratio * kUsedShare;
@@ -22,8 +22,7 @@
 }
 
 void Earn(RetryBudget& budget) noexcept {
-  budget.tokens =
-      std::min(budget.most, budget.tokens + budget.earned);
+  budget.tokens = std::min(budget.most, budget.tokens + budget.earned);
 }
 
 bool Spend(RetryBudget& budget) noexcept {
--- a/src/decisions/routes.cc
+++ b/src/decisions/routes.cc
@@ -17,11 +17,11 @@
 }
 
 [[nodiscard]] const ServiceId& DrawService(const Route& route, double draw) {
-  const double sum = std::accumulate(
-      route.services.begin(), route.services.end(), 0.0,
-      [](double total, const ServiceShare& share) {
-        return total + share.weight;
-      });
+  const double sum =
+      std::accumulate(route.services.begin(), route.services.end(), 0.0,
+                      [](double total, const ServiceShare& share) {
+                        return total + share.weight;
+                      });
   double passed = 0;
   for (const ServiceShare& share : route.services) {
     passed += share.weight;
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -317,7 +317,8 @@
     const Expectation expected =
         Expect(upstream.load, QuestionFor(upstream), table.speeds, now);
     const bool first = offer.usable++ == 0;
-    offer.start = first ? expected.start : std::min(offer.start, expected.start);
+    offer.start =
+        first ? expected.start : std::min(offer.start, expected.start);
     offer.reading += expected.reading;
   }
   offer.reading /= std::max<std::uint32_t>(1, offer.usable);
--- a/src/decisions/view.cc
+++ b/src/decisions/view.cc
@@ -11,13 +11,13 @@
 // Whether every request of the host may be served in the region.
 [[nodiscard]] bool IsHome(const RouteCatalogue& catalogue,
                           std::string_view host, const RegionId& region) {
-  return std::all_of(
-      catalogue.routes.begin(), catalogue.routes.end(),
-      [&](const Route& route) {
-        return route.host != host || route.regions.empty() ||
-               std::find(route.regions.begin(), route.regions.end(), region) !=
-                   route.regions.end();
-      });
+  return std::all_of(catalogue.routes.begin(), catalogue.routes.end(),
+                     [&](const Route& route) {
+                       return route.host != host || route.regions.empty() ||
+                              std::find(route.regions.begin(),
+                                        route.regions.end(),
+                                        region) != route.regions.end();
+                     });
 }
 
 template <typename Wanted>
--- a/src/duties/callers/connection.cc
+++ b/src/duties/callers/connection.cc
@@ -124,8 +124,7 @@
   const std::size_t most = phase_ == Phase::kBody || phase_ == Phase::kLinger
                                ? kBodyReadBytes
                                : kHeaderReadBytes;
-  const std::size_t bound =
-      std::max(server_.limits().header.count() + 1, most);
+  const std::size_t bound = std::max(server_.limits().header.count() + 1, most);
   return std::min(most, bound - std::min(bound, buffer_.size()));
 }
 
--- a/src/duties/callers/server.cc
+++ b/src/duties/callers/server.cc
@@ -142,11 +142,11 @@
     listener.acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) {
-    return Error{ErrorKind::kUnavailable,
-                 "cannot listen on " + ToString(endpoint) + ": " +
-                     error.message(),
-                 std::string("free the address or change ") + setting +
-                     " in the settings"};
+    return Error{
+        ErrorKind::kUnavailable,
+        "cannot listen on " + ToString(endpoint) + ": " + error.message(),
+        std::string("free the address or change ") + setting +
+            " in the settings"};
   }
   return boost::outcome_v2::success();
 }
@@ -173,8 +173,7 @@
 
 void CallerServer::OnAccepted(Listener& listener, const error_code& error,
                               asio::ip::tcp::socket socket) {
-  if (!listener.acceptor.is_open() ||
-      error == asio::error::operation_aborted) {
+  if (!listener.acceptor.is_open() || error == asio::error::operation_aborted) {
     return;
   }
   if (error == asio::error::connection_aborted) {
--- a/src/duties/common/http_fields.cc
+++ b/src/duties/common/http_fields.cc
@@ -25,7 +25,7 @@
 
 // Each hop writes these itself.
 constexpr std::array<std::string_view, 6> kOwnHopFields{
-    "Host",          "Content-Length", "Authorization", "Idempotency-Key",
+    "Host",         "Content-Length", "Authorization", "Idempotency-Key",
     "X-Request-Id", "Last-Event-ID"};
 
 [[nodiscard]] std::string_view ToView(beast::string_view text) noexcept {
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -27,8 +27,8 @@
 #include "mimosagauge/impl/duties/decisions/duty.h"
 #include "mimosagauge/impl/duties/links/duty.h"
 #include "mimosagauge/impl/duties/operators/duty.h"
-#include "mimosagauge/impl/duties/store/fleet_duty.h"
 #include "mimosagauge/impl/duties/store/duty.h"
+#include "mimosagauge/impl/duties/store/fleet_duty.h"
 #include "mimosagauge/impl/duties/upstreams/duty.h"
 
 namespace mimosagauge {
@@ -98,8 +98,8 @@
  private:
   std::optional<boost::asio::io_context> own_;
   boost::asio::io_context* io_ = nullptr;  // Never null once made.
-  std::optional<boost::asio::executor_work_guard<
-      boost::asio::io_context::executor_type>>
+  std::optional<
+      boost::asio::executor_work_guard<boost::asio::io_context::executor_type>>
       work_;  // Of `own_`.
   std::thread thread_;
 };
@@ -193,28 +193,26 @@
           decisions_.io(),
           MakeGateway(StartConfig(settings), MonotonicNow(),
                       std::random_device{}()),
-          DecisionOutputs{to_callers_, to_upstreams_, to_links_, to_platform_,
-                          to_operators_,
-                          [this] {
-                            boost::asio::post(links_.io(),
-                                              [this] { link_duty_.Leave(); });
-                            if (fleet_duty_ != nullptr) {
-                              boost::asio::post(platform_.io(), [this] {
-                                fleet_duty_->Leave();
-                              });
-                            }
-                          },
-                          [this] {
-                            boost::asio::post(callers_.io(), [this] {
-                              caller_duty_.StopAccepting();
-                            });
-                          },
-                          [this](bool in_time) {
-                            boost::asio::post(process_, [this, in_time] {
-                              in_time_ = in_time;
-                              process_.stop();
-                            });
-                          }}) {
+          DecisionOutputs{
+              to_callers_, to_upstreams_, to_links_, to_platform_,
+              to_operators_,
+              [this] {
+                boost::asio::post(links_.io(), [this] { link_duty_.Leave(); });
+                if (fleet_duty_ != nullptr) {
+                  boost::asio::post(platform_.io(),
+                                    [this] { fleet_duty_->Leave(); });
+                }
+              },
+              [this] {
+                boost::asio::post(callers_.io(),
+                                  [this] { caller_duty_.StopAccepting(); });
+              },
+              [this](bool in_time) {
+                boost::asio::post(process_, [this, in_time] {
+                  in_time_ = in_time;
+                  process_.stop();
+                });
+              }}) {
   Connect();
 }
 
--- a/src/duties/links/client.cc
+++ b/src/duties/links/client.cc
@@ -10,9 +10,9 @@
 #include <variant>
 
 #include "mimosagauge/impl/duties/common/log.h"
-#include "mimosagauge/impl/wire/load_codec.h"
 #include "mimosagauge/impl/duties/links/gossip.h"
 #include "mimosagauge/impl/duties/links/log.h"
+#include "mimosagauge/impl/wire/load_codec.h"
 
 namespace mimosagauge {
 namespace {
@@ -137,8 +137,8 @@
   settings.peer = use.peer.link;
   settings.entry = use.peer.entry;
   const auto known = peers_.find(settings.id);
-  const bool moved = known != peers_.end() &&
-                     known->second->settings.peer != settings.peer;
+  const bool moved =
+      known != peers_.end() && known->second->settings.peer != settings.peer;
   Learn(settings);
   Peer& peer = *peers_[settings.id];
   peer.dropped = false;
--- a/src/duties/links/duty.cc
+++ b/src/duties/links/duty.cc
@@ -45,8 +45,8 @@
     std::is_same_v<Effect, StartLinkAttempt> ||
     std::is_same_v<Effect, CancelAttempt> ||
     std::is_same_v<Effect, CreditAttempt> ||
-    std::is_same_v<Effect, SendGossip> || std::is_same_v<Effect, SendLoad> || std::is_same_v<Effect, UseInstance> ||
-    std::is_same_v<Effect, DropInstance>;
+    std::is_same_v<Effect, SendGossip> || std::is_same_v<Effect, SendLoad> ||
+    std::is_same_v<Effect, UseInstance> || std::is_same_v<Effect, DropInstance>;
 
 }  // namespace
 
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -33,9 +33,8 @@
 [[nodiscard]] std::string TextAt(const nlohmann::json& object,
                                  const char* key) {
   const auto found = object.find(key);
-  return found != object.end() && found->is_string()
-             ? found->get<std::string>()
-             : std::string();
+  return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
 }
 
 [[nodiscard]] std::string_view Behind(std::string_view key,
@@ -215,9 +214,8 @@
 
 void FleetDuty::FinishReading() {
   seen_ = reading_from_;
-  Log(log_events::kStoreReread,
-      {{"entries", std::to_string(reading_.size())},
-       {"revision", std::to_string(seen_.value())}});
+  Log(log_events::kStoreReread, {{"entries", std::to_string(reading_.size())},
+                                 {"revision", std::to_string(seen_.value())}});
   std::vector<std::string> gone;
   for (const auto& [key, revision] : known_) {
     if (reading_.count(key) == 0) {
@@ -303,8 +301,8 @@
         {{"key", entry.key}, {"detail", catalogue.error().message}});
     return;
   }
-  decisions_.Post(CatalogueArrived{std::make_shared<const RouteCatalogue>(
-      std::move(catalogue.value()))});
+  decisions_.Post(CatalogueArrived{
+      std::make_shared<const RouteCatalogue>(std::move(catalogue.value()))});
 }
 
 void FleetDuty::DeliverUpstream(const StoreEntry& entry, std::string_view id) {
@@ -334,11 +332,9 @@
         {{"key", entry.key}, {"detail", "an instance's entry has no address"}});
     return;
   }
-  decisions_.Post(
-      InstanceLearned{{InstanceId{std::string(id)},
-                       RegionId{TextAt(document, "region")},
-                       ZoneId{TextAt(document, "zone")}, entry_at.value(),
-                       link_at.value()}});
+  decisions_.Post(InstanceLearned{
+      {InstanceId{std::string(id)}, RegionId{TextAt(document, "region")},
+       ZoneId{TextAt(document, "zone")}, entry_at.value(), link_at.value()}});
 }
 
 // After an outage the entries of the living may be missing for a while.
@@ -391,13 +387,13 @@
 }
 
 bool FleetDuty::IsOfRegion(const ZoneId& zone) const {
-  return std::any_of(
-      settings_.regions.begin(), settings_.regions.end(),
-      [&](const RegionSettings& region) {
-        return region.id == settings_.region &&
-               std::find(region.zones.begin(), region.zones.end(), zone) !=
-                   region.zones.end();
-      });
+  return std::any_of(settings_.regions.begin(), settings_.regions.end(),
+                     [&](const RegionSettings& region) {
+                       return region.id == settings_.region &&
+                              std::find(region.zones.begin(),
+                                        region.zones.end(),
+                                        zone) != region.zones.end();
+                     });
 }
 
 void FleetDuty::NoteContact(bool reached, const std::string& detail) {
--- a/src/duties/upstreams/dialect.cc
+++ b/src/duties/upstreams/dialect.cc
@@ -27,9 +27,8 @@
 }  // namespace
 
 const UpstreamDialect& OwnUpstreamDialect() noexcept {
-  static constexpr UpstreamDialect kDialect{&detail::FormatUpstreamHeader,
-                                            &ReadHead, &EndToEndFields, true,
-                                            false};
+  static constexpr UpstreamDialect kDialect{
+      &detail::FormatUpstreamHeader, &ReadHead, &EndToEndFields, true, false};
   return kDialect;
 }
 
--- a/src/duties/upstreams/server.cc
+++ b/src/duties/upstreams/server.cc
@@ -103,8 +103,8 @@
   settings.models = config.models;
   settings.concurrency = config.concurrency;
   settings.honours_resume = config.honours_resume;
-  pool = std::make_shared<UpstreamPool>(std::move(settings),
-                                        config.incarnation);
+  pool =
+      std::make_shared<UpstreamPool>(std::move(settings), config.incarnation);
 }
 
 void UpstreamServer::Sweep() {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -135,8 +135,7 @@
     const auto path = Places(builder, head.path);
     const bool route_fields = version >= kRouteFieldsVersion;
     const Prompt prompt = route_fields ? head.prompt : Prompt{};
-    const auto host =
-        route_fields ? Text(builder, head.host) : StringOffset();
+    const auto host = route_fields ? Text(builder, head.host) : StringOffset();
     const auto parts =
         prompt.parts.empty() ? PartsOffset() : Parts(builder, prompt);
     const auto resume_after =
--- a/src/wire/load_codec.cc
+++ b/src/wire/load_codec.cc
@@ -33,10 +33,9 @@
   std::vector<Offset<wire::UpstreamShare>> shares;
   for (const UpstreamShare& share : digest.shares) {
     const auto upstream = builder.CreateString(share.upstream.value());
-    shares.push_back(wire::CreateUpstreamShare(builder, upstream,
-                                               share.in_flight,
-                                               share.unread_tokens,
-                                               share.sent_tokens));
+    shares.push_back(
+        wire::CreateUpstreamShare(builder, upstream, share.in_flight,
+                                  share.unread_tokens, share.sent_tokens));
   }
   std::vector<Offset<wire::PartRead>> parts;
   for (const PartRead& read : digest.parts) {
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -5,8 +5,8 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
-#include <cstdlib>
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -133,8 +133,7 @@
 bool Cluster::WaitForLinks(const ClusterMember& member) const {
   HttpRequest request;
   request.target = "/v1/entry";
-  request.headers = {
-      {"Authorization", std::string("Bearer ") + kSchoolToken}};
+  request.headers = {{"Authorization", std::string("Bearer ") + kSchoolToken}};
   return WaitUntil([&] {
     const HttpReply reply = Fetch(member.entry, request);
     return std::all_of(
--- a/tests/support/fleet_gateway.cc
+++ b/tests/support/fleet_gateway.cc
@@ -75,8 +75,7 @@
 }
 
 FleetGateway::FleetGateway() : gateway_(MakeGateway(Config(), now_, kSeed)) {
-  Give(CatalogueArrived{
-      std::make_shared<const RouteCatalogue>(Catalogue(1))});
+  Give(CatalogueArrived{std::make_shared<const RouteCatalogue>(Catalogue(1))});
 }
 
 std::vector<Effect> FleetGateway::Give(Event event) {
--- a/tests/support/fleet_gateway.h
+++ b/tests/support/fleet_gateway.h
@@ -40,8 +40,8 @@
 
   /// \brief An upstream of `engines` or `desk` appears or changes.
   std::vector<Effect> Upstream(const std::string& id,
-                               const std::string& service,
-                               bool leaving = false, Duration cold = {},
+                               const std::string& service, bool leaving = false,
+                               Duration cold = {},
                                const std::string& zone = "nairobi-a");
   /// \brief Another instance appears, and its link comes up.
   void Instance(const std::string& id, const std::string& region);
--- a/tests/unit/engine_load_test.cc
+++ b/tests/unit/engine_load_test.cc
@@ -52,8 +52,8 @@
   const EngineSpeeds speeds;
   EngineLoad load;
   LearnService(load, milliseconds(30));
-  const auto [in_flight, rounds] = GENERATE(table<std::size_t, double>({
-      {0, 0}, {5, 0}, {6, 1.0 / 6}, {11, 1}, {17, 2}}));
+  const auto [in_flight, rounds] = GENERATE(table<std::size_t, double>(
+      {{0, 0}, {5, 0}, {6, 1.0 / 6}, {11, 1}, {17, 2}}));
   CAPTURE(in_flight);
   const LoadQuestion question{false, 0, 0, in_flight, 6};
   const Expectation expected = Expect(load, question, speeds, kStart);
--- a/tests/unit/fleet_gateway_test.cc
+++ b/tests/unit/fleet_gateway_test.cc
@@ -1,11 +1,11 @@
 // Decisions about requests under the operators' configuration: what is tried,
 // how often, where, and what callers are told.
 
+#include "tests/support/fleet_gateway.h"
+
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "tests/support/fleet_gateway.h"
-
 namespace mimosagauge {
 namespace {
 
@@ -53,7 +53,8 @@
   }
 }
 
-TEST_CASE("before any configuration is known requests are refused, not denied") {
+TEST_CASE(
+    "before any configuration is known requests are refused, not denied") {
   Gateway gateway = MakeGateway({}, TimePoint{seconds(1)}, 1);
   auto head = std::make_shared<RequestHead>();
   head->target = "/";
@@ -140,8 +141,11 @@
   const auto [number, effects] = world.Request(To("/deposit/1"));
   const auto start = Find<StartUpstreamAttempt>(effects);
   REQUIRE(start);
-  AttemptFailed failed{start->attempt, RunState::kNotRun,
-                       {ErrorKind::kNotFound, "another", ""}, {}, true};
+  AttemptFailed failed{start->attempt,
+                       RunState::kNotRun,
+                       {ErrorKind::kNotFound, "another", ""},
+                       {},
+                       true};
   const auto after = world.Give(failed);
   CHECK(Find<DropUpstream>(after));
   const auto [next, refused] = world.Request(To("/deposit/1"));
@@ -162,7 +166,8 @@
   CHECK(Find<CancelAttempt>(late));
 }
 
-TEST_CASE("an answer that has begun is broken off soon after its time is over") {
+TEST_CASE(
+    "an answer that has begun is broken off soon after its time is over") {
   FleetGateway world;
   world.Upstream("engine-1", "engines");
   const auto [number, effects] = world.Request(To("/quote/1"));
@@ -183,9 +188,9 @@
   const bool other_region = GENERATE(true, false);
   if (other_region) {
     world.Instance("mombasa-1", "mombasa");
-    world.Give(LoadTold{InstanceId{"mombasa-1"},
-                        {{}, {}, {{ServiceId{"engines"}, 4, milliseconds(20),
-                                   0.1}}}});
+    world.Give(
+        LoadTold{InstanceId{"mombasa-1"},
+                 {{}, {}, {{ServiceId{"engines"}, 4, milliseconds(20), 0.1}}}});
   }
   const auto [number, effects] = world.Request(Review());
   CHECK(Find<StartLinkAttempt>(effects).has_value() == other_region);
@@ -337,8 +342,7 @@
   world.Instance("mombasa-1", "mombasa");
   world.Instance("kisumu-1", "kisumu");
   if (!one.near_up) {
-    world.Give(
-        LinkChanged{InstanceId{"kisumu-1"}, false, one.near_leaving});
+    world.Give(LinkChanged{InstanceId{"kisumu-1"}, false, one.near_leaving});
   }
   const InstanceView view = View(world.gateway(), world.now());
   std::string named;
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -80,9 +80,10 @@
   CHECK(used.size() >= 6);
 }
 
-TEST_CASE("a part is read a second time only where its upstream is far behind") {
-  const auto [queued, stays] = GENERATE(table<double, bool>({
-      {0, true}, {13300, true}, {30000, true}, {120000, false}}));
+TEST_CASE(
+    "a part is read a second time only where its upstream is far behind") {
+  const auto [queued, stays] = GENERATE(table<double, bool>(
+      {{0, true}, {13300, true}, {30000, true}, {120000, false}}));
   CAPTURE(queued);
   UpstreamTable table = Engines(4);
   const std::string home = Choose(table, Review(7));
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -1,11 +1,10 @@
 // The adapter reads and writes what the platform's pages say.
 
-#include "platform/adapter.h"
-
 #include <catch2/catch.hpp>
 #include <string>
 
 #include "mimosagauge/impl/store/base64.h"
+#include "platform/adapter.h"
 
 namespace mimosagauge {
 namespace {
@@ -55,9 +54,9 @@
 }
 
 TEST_CASE("a configuration that does not hold is refused whole") {
-  const std::string text = GENERATE(as<std::string>(), "", "{", "[]", "{}",
-                                    R"({"version":"7"})", R"({"version":-1})",
-                                    "\xff\xfe");
+  const std::string text =
+      GENERATE(as<std::string>(), "", "{", "[]", "{}", R"({"version":"7"})",
+               R"({"version":-1})", "\xff\xfe");
   CHECK_FALSE(platform::Fleet().decode_configuration(text));
 }
 
@@ -124,23 +123,23 @@
 TEST_CASE("a request's fields are read into types or passed on, not both") {
   const CallerRequest read = Read(
       HeaderOf("/quote/1?x=2",
-             {{"Host", "a.example"},
-              {"X-Mimosagauge-Request-Id", "9c41"},
-              {"X-Mimosagauge-Deadline-Ms", "5000"},
-              {"X-Mimosagauge-Model", "m"},
-              {"X-Mimosagauge-Token-Count", "1460,80"},
-              {"X-Mimosagauge-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
-              {"X-Mimosagauge-Length-Hint", "30"},
-              {"Last-Event-Id", "12"},
-              {"Connection", "close, X-Once"},
-              {"X-Once", "1"},
-              {"X-Other", "kept"},
-              {"X-Mimosagauge-Hold", "77"},
-              {"X-Mimosagauge-Pin-Ms", "1000"},
-              {"X-Mimosagauge-Kv-Backup", "10.0.0.1:1"},
-              {"Kv-From", "10.0.0.1:1/2"},
-              {"Kv-Fetch", "10.0.0.1:1"},
-              {"X-Mimosagauge-Expect-Instance", "i-9"}}),
+               {{"Host", "a.example"},
+                {"X-Mimosagauge-Request-Id", "9c41"},
+                {"X-Mimosagauge-Deadline-Ms", "5000"},
+                {"X-Mimosagauge-Model", "m"},
+                {"X-Mimosagauge-Token-Count", "1460,80"},
+                {"X-Mimosagauge-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                {"X-Mimosagauge-Length-Hint", "30"},
+                {"Last-Event-Id", "12"},
+                {"Connection", "close, X-Once"},
+                {"X-Once", "1"},
+                {"X-Other", "kept"},
+                {"X-Mimosagauge-Hold", "77"},
+                {"X-Mimosagauge-Pin-Ms", "1000"},
+                {"X-Mimosagauge-Kv-Backup", "10.0.0.1:1"},
+                {"Kv-From", "10.0.0.1:1/2"},
+                {"Kv-Fetch", "10.0.0.1:1"},
+                {"X-Mimosagauge-Expect-Instance", "i-9"}}),
       ListenerKind::kCallers);
   const auto* request = std::get_if<UpstreamRequest>(&read);
   REQUIRE(request);
@@ -206,7 +205,8 @@
   return attempt;
 }
 
-TEST_CASE("a worker gets the request as it came, and what is left of its time") {
+TEST_CASE(
+    "a worker gets the request as it came, and what is left of its time") {
   UpstreamSettings upstream;
   upstream.id = UpstreamId{"i-1"};
   CHECK(platform::Upstreams().format_header(Attempt(), upstream) ==
@@ -236,7 +236,11 @@
   const Case one = GENERATE_COPY(values<Case>({
       {"whole", 200, {{id, "9c41"}, {signature, "s"}}, false, false, false},
       {"no signature", 200, {{id, "9c41"}}, false, false, true},
-      {"another request's", 200, {{id, "77"}, {signature, "s"}}, false, false,
+      {"another request's",
+       200,
+       {{id, "77"}, {signature, "s"}},
+       false,
+       false,
        true},
       {"no id", 200, {{signature, "s"}}, false, false, true},
       {"encoded",
@@ -245,12 +249,20 @@
        false,
        false,
        true},
-      {"its own failure", 500, {{id, "9c41"}, {signature, "s"}}, false, false,
+      {"its own failure",
+       500,
+       {{id, "9c41"}, {signature, "s"}},
+       false,
+       false,
        false},
       {"full", 503, {{id, "9c41"}, {not_run, "1"}}, true, false, false},
       {"full, without id", 503, {{not_run, "1"}}, true, false, false},
-      {"another request was not run", 503, {{id, "77"}, {not_run, "1"}}, false,
-       false, true},
+      {"another request was not run",
+       503,
+       {{id, "77"}, {not_run, "1"}},
+       false,
+       false,
+       true},
       {"another worker", 421, {{id, "9c41"}}, false, true, false},
   }));
   CAPTURE(one.what);
@@ -309,9 +321,9 @@
   const auto gap = store.decode_poll({410, ""});
   REQUIRE(gap);
   CHECK(gap.value().gap);
-  const auto told = store.decode_poll(
-      {200, R"({"events":[)" + item +
-                R"(,{"key":"gone","rev":413,"removed":true}],
+  const auto told =
+      store.decode_poll({200, R"({"events":[)" + item +
+                                  R"(,{"key":"gone","rev":413,"removed":true}],
                 "storeRevision":413})"});
   REQUIRE(told);
   REQUIRE(told.value().changes.size() == 2);
