Digests small enough for large regions; links to a few instances of other regions; watches checked against each other

Change: digests hold only upstreams in use, by 64-bit marks, less often the more instances there are; two instances of a region tell each far one; four links to each other region; calls wait 8 s, changes are taken in batches of 0.5 s, and a watch that has missed what the others were told is opened anew.

--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -123,8 +123,12 @@
   InstanceViewPtr view;  ///< Never null.
 };
 
+/// \brief The watch of the store has missed a change that others were told:
+/// open it anew.
+struct ReopenWatch {};
+
 /// For the duty that talks to the key-value service.
-using ClaimStoreEffect = std::variant<LoadSlot, CommitClaims>;
+using StoreEffect = std::variant<LoadSlot, CommitClaims, ReopenWatch>;
 
 /// For the duty that talks to upstreams.
 using UpstreamEffect = std::variant<StartUpstreamAttempt, CancelAttempt,
@@ -167,7 +171,7 @@
 };
 
 struct ForPlatform {
-  ClaimStoreEffect effect;
+  StoreEffect effect;
 };
 struct ForOperators {
   PublishView effect;
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -123,6 +123,11 @@
   std::string bytes;  ///< Opaque to the link duty.
 };
 
+/// \brief The store has told everything up to this change.
+struct StoreSeen {
+  std::uint64_t revision = 0;
+};
+
 /// \brief Another instance told of its load.
 struct LoadTold {
   InstanceId from;
@@ -145,8 +150,8 @@
                  AttemptBody, AttemptEnded, AttemptFailed, RulesArrived,
                  CatalogueArrived, UpstreamLearned, UpstreamRemoved,
                  ZoneEvacuated, InstanceLearned, InstanceRemoved, LinkChanged,
-                 LoadTold, GossipArrived, ClaimStoreAnswered, DrainRequested,
-                 Tick>;
+                 StoreSeen, LoadTold, GossipArrived, ClaimStoreAnswered,
+                 DrainRequested, Tick>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -80,10 +80,14 @@
   bool up = false;
   /// Since when it says that it leaves; empty: it does not.
   std::optional<TimePoint> leaving;
-  bool listed = true;  ///< Registered, or named in the settings.
-  /// What its region could do for others, as it told last.
-  std::unordered_map<ServiceId, ServiceOffer> offers;
-  std::optional<TimePoint> offered_at;  ///< Empty: it has told nothing.
+  bool listed = true;   ///< Registered, or named in the settings.
+  bool linked = false;  ///< A link to it is kept.
+};
+
+/// \brief What another region could do for this one.
+struct RegionOffers {
+  std::unordered_map<ServiceId, ServiceOffer> services;
+  TimePoint told_at{};
 };
 
 /// \brief Everything that the decisions of one instance know.
@@ -102,6 +106,10 @@
   TimePoint next_digest{};  ///< To the instances of this region.
   TimePoint next_offers{};  ///< To those of other regions.
   std::vector<PeerState> peers;
+  std::unordered_map<RegionId, RegionOffers> offers;  ///< Of other regions.
+  std::uint64_t store_seen = 0;  ///< Newest change of the store told here.
+  /// Since when others have been told more; empty: they have not.
+  std::optional<TimePoint> store_behind;
   /// Each request in progress; one is erased when its outcome is closed.
   std::unordered_map<RequestNumber, RequestRecord> requests;
   /// The running attempts; a number not in here is of the past, and events
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -110,6 +110,10 @@
 /// \brief Shares what all instances may do together among those that live.
 void ShareOut(Gateway& gateway);
 
+/// \brief Keeps links to every instance of this region and to a few of each
+/// other one.
+void KeepLinks(Turn& turn);
+
 /// \brief Tells other instances of the load here when it is time.
 void TellLoad(Turn& turn);
 
@@ -135,6 +139,7 @@
 void Handle(Turn& turn, ZoneEvacuated&& event);
 void Handle(Turn& turn, InstanceLearned&& event);
 void Handle(Turn& turn, InstanceRemoved&& event);
+void Handle(Turn& turn, StoreSeen&& event);
 void Handle(Turn& turn, LoadTold&& event);
 void Handle(Turn& turn, LinkChanged&& event);
 void Handle(Turn& turn, GossipArrived&& event);
--- a/include/mimosagauge/impl/decisions/load_digest.h
+++ b/include/mimosagauge/impl/decisions/load_digest.h
@@ -14,9 +14,15 @@
 
 namespace mimosagauge {
 
+/// \brief An upstream's name in digests, shorter than its id.
+using UpstreamMark = StrongNumber<struct UpstreamMarkTag>;
+
+/// \returns The same on every instance.
+[[nodiscard]] UpstreamMark MarkOf(const UpstreamId& upstream) noexcept;
+
 /// \brief What one instance has at one upstream of its region.
 struct UpstreamShare {
-  UpstreamId upstream;
+  UpstreamMark upstream;
   std::uint32_t in_flight = 0;
   std::uint32_t unread_tokens = 0;  ///< Of prompts that it has not begun.
   std::uint32_t sent_tokens = 0;    ///< Given to it since the last digest.
@@ -24,7 +30,7 @@
 
 /// \brief A prompt part that an engine has been given to read.
 struct PartRead {
-  UpstreamId upstream;
+  UpstreamMark upstream;
   PromptPart part;
 };
 
@@ -38,9 +44,12 @@
 
 /// \brief One instance's word about its load.
 struct LoadDigest {
-  std::vector<UpstreamShare> shares;  ///< For instances of its region.
-  std::vector<PartRead> parts;        ///< For instances of its region.
-  std::vector<ServiceOffer> offers;   ///< For those of other regions.
+  /// Newest change of the platform's store that the instance has been told.
+  std::uint64_t store_seen = 0;
+  /// For instances of its region; an upstream that is missing has nothing.
+  std::vector<UpstreamShare> shares;
+  std::vector<PartRead> parts;       ///< For instances of its region.
+  std::vector<ServiceOffer> offers;  ///< For those of other regions.
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -45,7 +45,8 @@
 struct UpstreamTable {
   EngineSpeeds speeds;
   std::vector<UpstreamState> upstreams;
-  std::unordered_map<UpstreamId, std::size_t> index;  ///< Into `upstreams`.
+  std::unordered_map<UpstreamId, std::size_t> index;    ///< Into `upstreams`.
+  std::unordered_map<UpstreamMark, std::size_t> marks;  ///< The same.
   /// The upstreams of each service; positions in `upstreams`, rising.
   std::unordered_map<ServiceId, ServiceUpstreams> services;
 };
@@ -76,6 +77,10 @@
 [[nodiscard]] UpstreamState* FindUpstream(UpstreamTable& table,
                                           const UpstreamId& id) noexcept;
 
+/// \returns The upstream, or null.
+[[nodiscard]] UpstreamState* FindUpstream(UpstreamTable& table,
+                                          UpstreamMark mark) noexcept;
+
 /// \returns The upstream to use now; none when all that could serve are busy,
 /// leaving, ejected or already passed.
 [[nodiscard]] std::optional<UpstreamChoice> ChooseUpstream(
--- a/include/mimosagauge/impl/duties/decisions/duty.h
+++ b/include/mimosagauge/impl/duties/decisions/duty.h
@@ -17,7 +17,7 @@
   Mailbox<CallerEffect>& callers;
   Mailbox<UpstreamEffect>& upstreams;
   Mailbox<LinkEffect>& links;
-  Mailbox<ClaimStoreEffect>& platform;
+  Mailbox<StoreEffect>& platform;
   Mailbox<PublishView>& operators;
   std::function<void()> begin_leaving;         ///< Any thread.
   std::function<void()> stop_accepting;        ///< Any thread.
--- a/include/mimosagauge/impl/duties/store/duty.h
+++ b/include/mimosagauge/impl/duties/store/duty.h
@@ -59,7 +59,7 @@
   /// \brief Carries out an edit.
   void Handle(ChangeRules&& command);
   /// \brief Reads or writes claims; answered by one `ClaimStoreAnswered`.
-  void Handle(ClaimStoreEffect&& effect);
+  void Handle(StoreEffect&& effect);
 
  private:
   void Read();
--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -26,9 +26,9 @@
 struct FleetTimes {
   /// A waiting call is held that long by the store. It is also how long a
   /// connection that went silent goes unnoticed.
-  Duration wait = std::chrono::seconds(4);
+  Duration wait = std::chrono::seconds(8);
   /// Between an answer and the next call, so that changes come in batches.
-  Duration batch = std::chrono::milliseconds(200);
+  Duration batch = std::chrono::milliseconds(500);
   /// Between tries while the store does not answer.
   Duration retry = std::chrono::milliseconds(300);
   /// An outage this long may have let registrations of the living lapse.
@@ -55,6 +55,8 @@
   void Start();
   /// \brief Takes the registration back; watching goes on.
   void Leave();
+  /// \brief Drops a waiting call that may be silent, and asks again.
+  void Reopen();
   void Stop();
 
  private:
@@ -75,6 +77,7 @@
   void FinishReading();
   void Poll();
   void TakeUpdate(const StoreWatchUpdate& update);
+  void NoteSeen(StoreRevision revision);
   void PauseThen(Duration pause, void (FleetDuty::*next)());
 
   // What the store says.
@@ -100,7 +103,8 @@
   boost::asio::steady_timer missing_timer_;
   LeaseId lease_;  // Of the registration; zero: none.
   bool leaving_ = false;
-  StoreRevision seen_;  // The watch has told everything up to this.
+  std::uint64_t poll_ = 0;  // Tells an answer to a dropped call apart.
+  StoreRevision seen_;      // The watch has told everything up to this.
   /// Entries told to the decisions, by key, with their revision.
   std::unordered_map<std::string, StoreRevision> known_;
   /// Found by the reading that is under way.
--- a/include/mimosagauge/impl/wire/load_generated.h
+++ b/include/mimosagauge/impl/wire/load_generated.h
@@ -17,10 +17,8 @@
 namespace wire {
 
 struct UpstreamShare;
-struct UpstreamShareBuilder;
 
 struct PartRead;
-struct PartReadBuilder;
 
 struct ServiceOffer;
 struct ServiceOfferBuilder;
@@ -28,182 +26,90 @@
 struct LoadDigest;
 struct LoadDigestBuilder;
 
-struct UpstreamShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef UpstreamShareBuilder Builder;
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamShare FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint32_t in_flight_;
+  uint32_t unread_tokens_;
+  uint32_t sent_tokens_;
+  int32_t padding0__;
+
+ public:
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_UPSTREAM = 4,
-    VT_IN_FLIGHT = 6,
-    VT_UNREAD_TOKENS = 8,
-    VT_SENT_TOKENS = 10
-  };
-  const flatbuffers::String *upstream() const {
-    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  UpstreamShare()
+      : upstream_(0),
+        in_flight_(0),
+        unread_tokens_(0),
+        sent_tokens_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  UpstreamShare(uint64_t _upstream, uint32_t _in_flight, uint32_t _unread_tokens, uint32_t _sent_tokens)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        in_flight_(flatbuffers::EndianScalar(_in_flight)),
+        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)),
+        sent_tokens_(flatbuffers::EndianScalar(_sent_tokens)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
   }
   uint32_t in_flight() const {
-    return GetField<uint32_t>(VT_IN_FLIGHT, 0);
+    return flatbuffers::EndianScalar(in_flight_);
   }
   uint32_t unread_tokens() const {
-    return GetField<uint32_t>(VT_UNREAD_TOKENS, 0);
+    return flatbuffers::EndianScalar(unread_tokens_);
   }
   uint32_t sent_tokens() const {
-    return GetField<uint32_t>(VT_SENT_TOKENS, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_UPSTREAM) &&
-           verifier.VerifyString(upstream()) &&
-           VerifyField<uint32_t>(verifier, VT_IN_FLIGHT, 4) &&
-           VerifyField<uint32_t>(verifier, VT_UNREAD_TOKENS, 4) &&
-           VerifyField<uint32_t>(verifier, VT_SENT_TOKENS, 4) &&
-           verifier.EndTable();
+    return flatbuffers::EndianScalar(sent_tokens_);
   }
 };
-
-struct UpstreamShareBuilder {
-  typedef UpstreamShare Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
-    fbb_.AddOffset(UpstreamShare::VT_UPSTREAM, upstream);
-  }
-  void add_in_flight(uint32_t in_flight) {
-    fbb_.AddElement<uint32_t>(UpstreamShare::VT_IN_FLIGHT, in_flight, 0);
-  }
-  void add_unread_tokens(uint32_t unread_tokens) {
-    fbb_.AddElement<uint32_t>(UpstreamShare::VT_UNREAD_TOKENS, unread_tokens, 0);
-  }
-  void add_sent_tokens(uint32_t sent_tokens) {
-    fbb_.AddElement<uint32_t>(UpstreamShare::VT_SENT_TOKENS, sent_tokens, 0);
-  }
-  explicit UpstreamShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<UpstreamShare> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<UpstreamShare>(end);
-    fbb_.Required(o, UpstreamShare::VT_UPSTREAM);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<UpstreamShare> CreateUpstreamShare(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    uint32_t in_flight = 0,
-    uint32_t unread_tokens = 0,
-    uint32_t sent_tokens = 0) {
-  UpstreamShareBuilder builder_(_fbb);
-  builder_.add_sent_tokens(sent_tokens);
-  builder_.add_unread_tokens(unread_tokens);
-  builder_.add_in_flight(in_flight);
-  builder_.add_upstream(upstream);
-  return builder_.Finish();
-}
+FLATBUFFERS_STRUCT_END(UpstreamShare, 24);
 
 struct UpstreamShare::Traits {
   using type = UpstreamShare;
-  static auto constexpr Create = CreateUpstreamShare;
 };
 
-inline flatbuffers::Offset<UpstreamShare> CreateUpstreamShareDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *upstream = nullptr,
-    uint32_t in_flight = 0,
-    uint32_t unread_tokens = 0,
-    uint32_t sent_tokens = 0) {
-  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
-  return mimosagauge::wire::CreateUpstreamShare(
-      _fbb,
-      upstream__,
-      in_flight,
-      unread_tokens,
-      sent_tokens);
-}
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartRead FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint64_t id_;
+  uint32_t tokens_;
+  int32_t padding0__;
 
-struct PartRead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef PartReadBuilder Builder;
+ public:
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_UPSTREAM = 4,
-    VT_ID = 6,
-    VT_TOKENS = 8
-  };
-  const flatbuffers::String *upstream() const {
-    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  PartRead()
+      : upstream_(0),
+        id_(0),
+        tokens_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartRead(uint64_t _upstream, uint64_t _id, uint32_t _tokens)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        id_(flatbuffers::EndianScalar(_id)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
   }
   uint64_t id() const {
-    return GetField<uint64_t>(VT_ID, 0);
+    return flatbuffers::EndianScalar(id_);
   }
   uint32_t tokens() const {
-    return GetField<uint32_t>(VT_TOKENS, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_UPSTREAM) &&
-           verifier.VerifyString(upstream()) &&
-           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
-           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
-           verifier.EndTable();
-  }
-};
-
-struct PartReadBuilder {
-  typedef PartRead Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
-    fbb_.AddOffset(PartRead::VT_UPSTREAM, upstream);
-  }
-  void add_id(uint64_t id) {
-    fbb_.AddElement<uint64_t>(PartRead::VT_ID, id, 0);
-  }
-  void add_tokens(uint32_t tokens) {
-    fbb_.AddElement<uint32_t>(PartRead::VT_TOKENS, tokens, 0);
-  }
-  explicit PartReadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<PartRead> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<PartRead>(end);
-    fbb_.Required(o, PartRead::VT_UPSTREAM);
-    return o;
+    return flatbuffers::EndianScalar(tokens_);
   }
 };
-
-inline flatbuffers::Offset<PartRead> CreatePartRead(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    uint64_t id = 0,
-    uint32_t tokens = 0) {
-  PartReadBuilder builder_(_fbb);
-  builder_.add_id(id);
-  builder_.add_tokens(tokens);
-  builder_.add_upstream(upstream);
-  return builder_.Finish();
-}
+FLATBUFFERS_STRUCT_END(PartRead, 24);
 
 struct PartRead::Traits {
   using type = PartRead;
-  static auto constexpr Create = CreatePartRead;
 };
 
-inline flatbuffers::Offset<PartRead> CreatePartReadDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *upstream = nullptr,
-    uint64_t id = 0,
-    uint32_t tokens = 0) {
-  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
-  return mimosagauge::wire::CreatePartRead(
-      _fbb,
-      upstream__,
-      id,
-      tokens);
-}
-
 struct ServiceOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceOfferBuilder Builder;
   struct Traits;
@@ -304,28 +210,31 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SHARES = 4,
     VT_PARTS = 6,
-    VT_OFFERS = 8
+    VT_OFFERS = 8,
+    VT_STORE_SEEN = 10
   };
-  const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::UpstreamShare>> *shares() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::UpstreamShare>> *>(VT_SHARES);
+  const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *shares() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *>(VT_SHARES);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::PartRead>> *parts() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::PartRead>> *>(VT_PARTS);
+  const flatbuffers::Vector<const mimosagauge::wire::PartRead *> *parts() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::PartRead *> *>(VT_PARTS);
   }
   const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>> *offers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>> *>(VT_OFFERS);
   }
+  uint64_t store_seen() const {
+    return GetField<uint64_t>(VT_STORE_SEEN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
-           verifier.VerifyVectorOfTables(shares()) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
-           verifier.VerifyVectorOfTables(parts()) &&
            VerifyOffset(verifier, VT_OFFERS) &&
            verifier.VerifyVector(offers()) &&
            verifier.VerifyVectorOfTables(offers()) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_SEEN, 8) &&
            verifier.EndTable();
   }
 };
@@ -334,15 +243,18 @@
   typedef LoadDigest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::UpstreamShare>>> shares) {
+  void add_shares(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *>> shares) {
     fbb_.AddOffset(LoadDigest::VT_SHARES, shares);
   }
-  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::PartRead>>> parts) {
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PartRead *>> parts) {
     fbb_.AddOffset(LoadDigest::VT_PARTS, parts);
   }
   void add_offers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>> offers) {
     fbb_.AddOffset(LoadDigest::VT_OFFERS, offers);
   }
+  void add_store_seen(uint64_t store_seen) {
+    fbb_.AddElement<uint64_t>(LoadDigest::VT_STORE_SEEN, store_seen, 0);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -356,10 +268,12 @@
 
 inline flatbuffers::Offset<LoadDigest> CreateLoadDigest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::UpstreamShare>>> shares = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::PartRead>>> parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>> offers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *>> shares = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PartRead *>> parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>> offers = 0,
+    uint64_t store_seen = 0) {
   LoadDigestBuilder builder_(_fbb);
+  builder_.add_store_seen(store_seen);
   builder_.add_offers(offers);
   builder_.add_parts(parts);
   builder_.add_shares(shares);
@@ -373,17 +287,19 @@
 
 inline flatbuffers::Offset<LoadDigest> CreateLoadDigestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<mimosagauge::wire::UpstreamShare>> *shares = nullptr,
-    const std::vector<flatbuffers::Offset<mimosagauge::wire::PartRead>> *parts = nullptr,
-    const std::vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>> *offers = nullptr) {
-  auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::UpstreamShare>>(*shares) : 0;
-  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::PartRead>>(*parts) : 0;
+    const std::vector<mimosagauge::wire::UpstreamShare> *shares = nullptr,
+    const std::vector<mimosagauge::wire::PartRead> *parts = nullptr,
+    const std::vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>> *offers = nullptr,
+    uint64_t store_seen = 0) {
+  auto shares__ = shares ? _fbb.CreateVectorOfStructs<mimosagauge::wire::UpstreamShare>(*shares) : 0;
+  auto parts__ = parts ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PartRead>(*parts) : 0;
   auto offers__ = offers ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>(*offers) : 0;
   return mimosagauge::wire::CreateLoadDigest(
       _fbb,
       shares__,
       parts__,
-      offers__);
+      offers__,
+      store_seen);
 }
 
 inline const mimosagauge::wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -333,6 +333,9 @@
       peer.leaving = event.leaving ? std::optional(turn.now) : std::nullopt;
     }
   }
+  if (!event.up && turn.gateway.catalogue != nullptr) {
+    KeepLinks(turn);
+  }
   ShareOut(turn.gateway);
   const bool unlisted =
       std::any_of(turn.gateway.peers.begin(), turn.gateway.peers.end(),
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -5,17 +5,24 @@
 #include <utility>
 
 #include "mimosagauge/impl/decisions/gateway_detail.h"
+#include "mimosagauge/impl/decisions/rendezvous.h"
 
 namespace mimosagauge::detail {
 namespace {
 
-// Between two digests to the instances of this region, and to others, while
-// there are few of them; the more there are, the longer it is.
-constexpr Duration kDigestInterval = std::chrono::milliseconds(100);
+// Between two digests to the instances of this region, for each of them; to
+// other regions, for each instance told there.
+constexpr Duration kDigestInterval = std::chrono::milliseconds(25);
+constexpr Duration kShortestDigest = std::chrono::milliseconds(100);
 constexpr Duration kOffersInterval = std::chrono::milliseconds(300);
-constexpr std::size_t kFewPeers = 8;
+// Instances of this region that tell one of another region; two, so that one
+// may be lost.
+constexpr std::size_t kTellers = 2;
 // An offer says nothing after this long.
 constexpr Duration kOfferLife = std::chrono::seconds(2);
+// A change of the store reaches all instances within this, unless a watch has
+// gone silent.
+constexpr Duration kStoreLag = std::chrono::milliseconds(1500);
 // There and back between regions, with what the other instance adds.
 constexpr Duration kHop = std::chrono::milliseconds(130);
 // An instance that has told nothing yet is taken for this busy.
@@ -28,20 +35,21 @@
   return peer.config.region == gateway.config.region;
 }
 
-[[nodiscard]] bool TakesWord(const PeerState& peer) { return peer.up; }
-
 [[nodiscard]] std::uint32_t Whole(double number) {
   return static_cast<std::uint32_t>(std::max(0.0, number));
 }
 
 [[nodiscard]] LoadDigest NearDigest(Gateway& gateway) {
   LoadDigest digest;
+  digest.store_seen = gateway.store_seen;
   for (UpstreamState& upstream : gateway.upstreams.upstreams) {
     EngineLoad& load = upstream.load;
-    digest.shares.push_back({upstream.config.id,
-                             static_cast<std::uint32_t>(upstream.in_flight),
-                             Whole(load.unread_tokens),
-                             Whole(std::exchange(load.untold_tokens, 0))});
+    const double sent = std::exchange(load.untold_tokens, 0);
+    if (upstream.in_flight > 0 || sent > 0) {
+      digest.shares.push_back({MarkOf(upstream.config.id),
+                               static_cast<std::uint32_t>(upstream.in_flight),
+                               Whole(load.unread_tokens), Whole(sent)});
+    }
   }
   digest.parts = std::exchange(gateway.parts_read, {});
   return digest;
@@ -55,28 +63,59 @@
   return digest;
 }
 
-[[nodiscard]] Duration Stretched(Duration interval, std::size_t peers) {
-  return interval * std::max<std::size_t>(1, peers / kFewPeers);
+// Whether this instance is one of those of its region that tell the peer.
+[[nodiscard]] bool Tells(const Gateway& gateway, const PeerState& peer) {
+  const auto weight = [&peer](const InstanceId& teller) {
+    return RendezvousWeight(RendezvousWeight(0, peer.config.id.value()),
+                            teller.value());
+  };
+  const std::uint64_t own = weight(gateway.config.instance);
+  const auto before = std::count_if(
+      gateway.peers.begin(), gateway.peers.end(), [&](const PeerState& other) {
+        return other.up && IsNear(gateway, other) &&
+               weight(other.config.id) > own;
+      });
+  return static_cast<std::size_t>(before) < kTellers;
 }
 
-void Send(Turn& turn, bool near, LoadDigest digest) {
-  const auto shared = std::make_shared<const LoadDigest>(std::move(digest));
-  for (const PeerState& peer : turn.gateway.peers) {
-    if (TakesWord(peer) && IsNear(turn.gateway, peer) == near) {
-      turn.effects.emplace_back(ForLinks{SendLoad{peer.config.id, shared}});
+void TellNear(Turn& turn) {
+  Gateway& gateway = turn.gateway;
+  const auto digest = std::make_shared<const LoadDigest>(NearDigest(gateway));
+  std::size_t told = 0;
+  for (const PeerState& peer : gateway.peers) {
+    if (peer.up && IsNear(gateway, peer)) {
+      turn.effects.emplace_back(ForLinks{SendLoad{peer.config.id, digest}});
+      ++told;
     }
   }
+  gateway.next_digest =
+      turn.now +
+      std::max(kShortestDigest,
+               Duration(kDigestInterval * static_cast<Duration::rep>(told)));
 }
 
-[[nodiscard]] std::size_t CountPeers(const Gateway& gateway, bool near) {
-  return static_cast<std::size_t>(std::count_if(
-      gateway.peers.begin(), gateway.peers.end(), [&](const PeerState& peer) {
-        return TakesWord(peer) && IsNear(gateway, peer) == near;
-      }));
+void TellFar(Turn& turn) {
+  Gateway& gateway = turn.gateway;
+  gateway.next_offers = turn.now + kOffersInterval;
+  std::shared_ptr<const LoadDigest> digest;
+  for (const PeerState& peer : gateway.peers) {
+    if (!peer.up || IsNear(gateway, peer) || !Tells(gateway, peer)) {
+      continue;
+    }
+    if (digest == nullptr) {
+      digest = std::make_shared<const LoadDigest>(FarDigest(gateway, turn.now));
+    }
+    turn.effects.emplace_back(ForLinks{SendLoad{peer.config.id, digest}});
+  }
 }
 
-[[nodiscard]] bool HasFreshOffers(const PeerState& peer, TimePoint now) {
-  return peer.offered_at && now - *peer.offered_at <= kOfferLife;
+[[nodiscard]] const RegionOffers* FreshOffers(const Gateway& gateway,
+                                              const RegionId& region,
+                                              TimePoint now) {
+  const auto found = gateway.offers.find(region);
+  const bool fresh = found != gateway.offers.end() &&
+                     now - found->second.told_at <= kOfferLife;
+  return fresh ? &found->second : nullptr;
 }
 
 // What a request would find at another region's instance.
@@ -85,11 +124,13 @@
                                    const RequestRecord& record, TimePoint now) {
   Expectation expected;
   expected.start = kHop + kUntoldStart;
-  const auto offer = peer.offers.find(record.verdict.service);
-  const bool told = offer != peer.offers.end() && HasFreshOffers(peer, now);
-  if (told) {
-    expected.start = kHop + offer->second.start;
-    expected.reading = offer->second.reading;
+  if (const RegionOffers* told =
+          FreshOffers(gateway, peer.config.region, now)) {
+    const auto offer = told->services.find(record.verdict.service);
+    if (offer != told->services.end()) {
+      expected.start = kHop + offer->second.start;
+      expected.reading = offer->second.reading;
+    }
   }
   const Prompt& prompt = record.arrival.head->prompt;
   LoadQuestion question;
@@ -110,13 +151,56 @@
   return expected;
 }
 
-[[nodiscard]] bool Serves(const PeerState& peer, const ServiceId& service,
-                          TimePoint now) {
-  if (!HasFreshOffers(peer, now)) {
+[[nodiscard]] bool Serves(const Gateway& gateway, const RegionId& region,
+                          const ServiceId& service, TimePoint now) {
+  const RegionOffers* told = FreshOffers(gateway, region, now);
+  if (told == nullptr) {
     return true;  // Nothing is known against it.
   }
-  const auto offer = peer.offers.find(service);
-  return offer != peer.offers.end() && offer->second.usable > 0;
+  const auto offer = told->services.find(service);
+  return offer != told->services.end() && offer->second.usable > 0;
+}
+
+// The peer's part of what its region's upstreams have.
+void LearnShares(Gateway& gateway, const InstanceId& from,
+                 const LoadDigest& digest, TimePoint now) {
+  for (UpstreamState& upstream : gateway.upstreams.upstreams) {
+    upstream.load.foreign.erase(from);
+  }
+  for (const UpstreamShare& share : digest.shares) {
+    UpstreamState* upstream = FindUpstream(gateway.upstreams, share.upstream);
+    if (upstream != nullptr) {
+      LearnForeign(
+          upstream->load, from,
+          {share.in_flight, static_cast<double>(share.unread_tokens), now},
+          share.sent_tokens, now);
+    }
+  }
+  for (const PartRead& read : digest.parts) {
+    UpstreamState* upstream = FindUpstream(gateway.upstreams, read.upstream);
+    if (upstream != nullptr) {
+      Touch(upstream->cache, read.part);
+    }
+  }
+}
+
+// Others were told of a change that has not come here for long: the watch is
+// silent.
+void CompareStore(Turn& turn, std::uint64_t seen) {
+  Gateway& gateway = turn.gateway;
+  if (seen <= gateway.store_seen) {
+    return;
+  }
+  if (!gateway.store_behind) {
+    gateway.store_behind = turn.now;
+  } else if (turn.now - *gateway.store_behind > kStoreLag) {
+    gateway.store_behind.reset();
+    turn.effects.emplace_back(
+        WriteLog{log_events::kWatchSilent,
+                 {{"seen", std::to_string(gateway.store_seen)},
+                  {"others", std::to_string(seen)}}});
+    turn.effects.emplace_back(ForPlatform{ReopenWatch{}});
+  }
 }
 
 }  // namespace
@@ -127,50 +211,37 @@
     return;
   }
   if (turn.now >= gateway.next_digest) {
-    const std::size_t near = CountPeers(gateway, true);
-    gateway.next_digest = turn.now + Stretched(kDigestInterval, near);
-    if (near > 0) {
-      Send(turn, true, NearDigest(gateway));
-    }
-    gateway.parts_read.clear();
+    TellNear(turn);
   }
   if (turn.now >= gateway.next_offers) {
-    const std::size_t far = CountPeers(gateway, false);
-    gateway.next_offers = turn.now + Stretched(kOffersInterval, far);
-    if (far > 0) {
-      Send(turn, false, FarDigest(gateway, turn.now));
-    }
+    TellFar(turn);
   }
 }
 
+void Handle(Turn& turn, StoreSeen&& event) {
+  turn.gateway.store_seen = std::max(turn.gateway.store_seen, event.revision);
+  turn.gateway.store_behind.reset();
+}
+
 void Handle(Turn& turn, LoadTold&& event) {
   Gateway& gateway = turn.gateway;
-  for (const UpstreamShare& share : event.digest.shares) {
-    UpstreamState* upstream = FindUpstream(gateway.upstreams, share.upstream);
-    if (upstream != nullptr) {
-      LearnForeign(
-          upstream->load, event.from,
-          {share.in_flight, static_cast<double>(share.unread_tokens), turn.now},
-          share.sent_tokens, turn.now);
-    }
+  const auto peer = std::find_if(gateway.peers.begin(), gateway.peers.end(),
+                                 [&event](const PeerState& known) {
+                                   return known.config.id == event.from;
+                                 });
+  if (peer == gateway.peers.end()) {
+    return;  // It comes with the next one, once the instance is known.
   }
-  for (const PartRead& read : event.digest.parts) {
-    UpstreamState* upstream = FindUpstream(gateway.upstreams, read.upstream);
-    if (upstream != nullptr) {
-      Touch(upstream->cache, read.part);
-    }
-  }
-  if (event.digest.offers.empty()) {
+  if (IsNear(gateway, *peer)) {
+    LearnShares(gateway, event.from, event.digest, turn.now);
+    CompareStore(turn, event.digest.store_seen);
     return;
   }
-  for (PeerState& peer : gateway.peers) {
-    if (peer.config.id == event.from) {
-      peer.offers.clear();
-      peer.offered_at = turn.now;
-      for (ServiceOffer& offer : event.digest.offers) {
-        peer.offers.insert_or_assign(offer.service, offer);
-      }
-    }
+  RegionOffers& offers = gateway.offers[peer->config.region];
+  offers.told_at = turn.now;
+  offers.services.clear();
+  for (ServiceOffer& offer : event.digest.offers) {
+    offers.services.insert_or_assign(offer.service, offer);
   }
 }
 
@@ -179,9 +250,9 @@
   std::vector<RemoteChoice> candidates;
   Duration best = Duration::max();
   for (const PeerState& peer : gateway.peers) {
-    const bool may = !IsNear(gateway, peer) && TakesWord(peer) &&
-                     MayGoTo(record, peer.config) &&
-                     Serves(peer, record.verdict.service, now);
+    const bool may =
+        !IsNear(gateway, peer) && peer.up && MayGoTo(record, peer.config) &&
+        Serves(gateway, peer.config.region, record.verdict.service, now);
     if (may) {
       candidates.push_back(
           {&peer.config, ExpectAt(gateway, peer, record, now)});
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -78,7 +78,7 @@
       const Prompt& prompt = record.arrival.head->prompt;
       Touch(upstream->cache, prompt);
       if (const PromptPart* part = LeadingPart(prompt)) {
-        gateway.parts_read.push_back({id, *part});
+        gateway.parts_read.push_back({MarkOf(id), *part});
       }
     }
   }
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <utility>
 
 #include "mimosagauge/impl/decisions/gateway_detail.h"
@@ -16,6 +17,9 @@
 constexpr std::size_t kEngineQueueFactor = 2;
 // A plain service refuses what it cannot queue.
 constexpr std::size_t kPlainQueueFactor = 3;
+// Links to each other region; each of its instances could take what is passed
+// on, so more would only cost bytes.
+constexpr std::size_t kFarLinks = 4;
 // Part of an engine's memory that shared parts fill beside running requests.
 constexpr double kSharedMemoryPart = 0.7;
 
@@ -79,6 +83,42 @@
 
 }  // namespace
 
+void KeepLinks(Turn& turn) {
+  Gateway& gateway = turn.gateway;
+  std::map<RegionId, std::vector<PeerState*>> far;
+  const auto keep = [&turn](PeerState& peer) {
+    if (!peer.linked) {
+      peer.linked = true;
+      turn.effects.emplace_back(ForLinks{UseInstance{peer.config}});
+    }
+  };
+  for (PeerState& peer : gateway.peers) {
+    if (peer.config.region == gateway.config.region) {
+      keep(peer);
+    } else {
+      far[peer.config.region].push_back(&peer);
+    }
+  }
+  const std::uint64_t subject =
+      RendezvousWeight(0, gateway.config.instance.value());
+  for (auto& [region, peers] : far) {
+    std::sort(peers.begin(), peers.end(),
+              [subject](const PeerState* a, const PeerState* b) {
+                return RendezvousWeight(subject, a->config.id.value()) >
+                       RendezvousWeight(subject, b->config.id.value());
+              });
+    std::size_t usable = 0;
+    for (PeerState* peer : peers) {
+      if (usable == kFarLinks) {
+        break;
+      }
+      // One that is being connected counts; one that is lost does not.
+      usable += peer->up || !peer->linked ? 1 : 0;
+      keep(*peer);
+    }
+  }
+}
+
 void ShareOut(Gateway& gateway) {
   ShareColdUpstreams(gateway);
   if (gateway.catalogue == nullptr) {
@@ -184,22 +224,24 @@
   if (event.peer.id == gateway.config.instance) {
     return;
   }
-  const auto known = std::find_if(gateway.peers.begin(), gateway.peers.end(),
-                                  [&event](const PeerState& peer) {
-                                    return peer.config.id == event.peer.id;
-                                  });
+  auto known = std::find_if(gateway.peers.begin(), gateway.peers.end(),
+                            [&event](const PeerState& peer) {
+                              return peer.config.id == event.peer.id;
+                            });
   if (known == gateway.peers.end()) {
-    PeerState& peer = gateway.peers.emplace_back();
-    peer.config = event.peer;
-  } else {
-    known->config = event.peer;
-    known->listed = true;
+    known = gateway.peers.insert(known, PeerState{});
   }
+  known->config = event.peer;
+  known->listed = true;
   turn.effects.emplace_back(WriteLog{log_events::kInstanceLearned,
                                      {{"peer", event.peer.id.value()},
                                       {"zone", event.peer.zone.value()},
                                       {"address", ToString(event.peer.link)}}});
-  turn.effects.emplace_back(ForLinks{UseInstance{std::move(event.peer)}});
+  if (known->linked) {
+    // Its address may have changed.
+    turn.effects.emplace_back(ForLinks{UseInstance{known->config}});
+  }
+  KeepLinks(turn);
   ShareOut(gateway);
 }
 
@@ -221,6 +263,7 @@
   turn.effects.emplace_back(
       WriteLog{log_events::kInstanceGone, {{"peer", event.id.value()}}});
   turn.effects.emplace_back(ForLinks{DropInstance{std::move(event.id)}});
+  KeepLinks(turn);
   ShareOut(gateway);
 }
 
--- /dev/null
+++ b/src/decisions/load_digest.cc
@@ -0,0 +1,13 @@
+// Names of upstreams in load digests.
+
+#include "mimosagauge/impl/decisions/load_digest.h"
+
+#include "mimosagauge/impl/decisions/rendezvous.h"
+
+namespace mimosagauge {
+
+UpstreamMark MarkOf(const UpstreamId& upstream) noexcept {
+  return UpstreamMark{RendezvousWeight(0, upstream.value())};
+}
+
+}  // namespace mimosagauge
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -172,11 +172,13 @@
 
 void Reindex(UpstreamTable& table) {
   table.index.clear();
+  table.marks.clear();
   table.services.clear();
   for (std::size_t position = 0; position < table.upstreams.size();
        ++position) {
     const UpstreamConfig& config = table.upstreams[position].config;
     table.index.emplace(config.id, position);
+    table.marks.emplace(MarkOf(config.id), position);
     ServiceUpstreams& service = table.services[config.service];
     service.all.push_back(position);
     for (const ModelId& model : config.models) {
@@ -223,6 +225,11 @@
   return found == table.index.end() ? nullptr : &table.upstreams[found->second];
 }
 
+UpstreamState* FindUpstream(UpstreamTable& table, UpstreamMark mark) noexcept {
+  const auto found = table.marks.find(mark);
+  return found == table.marks.end() ? nullptr : &table.upstreams[found->second];
+}
+
 std::optional<UpstreamChoice> ChooseUpstream(const UpstreamTable& table,
                                              const UpstreamNeed& need,
                                              const ZoneId& zone,
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -140,7 +140,7 @@
   Mailbox<CallerEffect> to_callers_;
   Mailbox<UpstreamEffect> to_upstreams_;
   Mailbox<LinkEffect> to_links_;
-  Mailbox<ClaimStoreEffect> to_platform_;
+  Mailbox<StoreEffect> to_platform_;
   Mailbox<PublishView> to_operators_;
   Mailbox<ChangeRules> edits_;
   Mailbox<RulesChanged> edit_outcomes_;
@@ -231,7 +231,13 @@
   });
   to_links_.set_handler(
       [this](LinkEffect&& effect) { link_duty_.Handle(std::move(effect)); });
-  to_platform_.set_handler([this](ClaimStoreEffect&& effect) {
+  to_platform_.set_handler([this](StoreEffect&& effect) {
+    if (std::holds_alternative<ReopenWatch>(effect)) {
+      if (fleet_duty_ != nullptr) {
+        fleet_duty_->Reopen();
+      }
+      return;
+    }
     platform_duty_.Handle(std::move(effect));
   });
   to_operators_.set_handler([this](PublishView&& effect) {
--- a/src/duties/store/duty.cc
+++ b/src/duties/store/duty.cc
@@ -283,11 +283,13 @@
   }
 }
 
-void PlatformDuty::Handle(ClaimStoreEffect&& effect) {
+void PlatformDuty::Handle(StoreEffect&& effect) {
   if (const auto* load = std::get_if<LoadSlot>(&effect)) {
     return Load(*load);
   }
-  Commit(std::get<CommitClaims>(effect));
+  if (const auto* commit = std::get_if<CommitClaims>(&effect)) {
+    Commit(*commit);
+  }
 }
 
 void PlatformDuty::Load(const LoadSlot& load) {
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -213,7 +213,7 @@
 }
 
 void FleetDuty::FinishReading() {
-  seen_ = reading_from_;
+  NoteSeen(reading_from_);
   Log(log_events::kStoreReread, {{"entries", std::to_string(reading_.size())},
                                  {"revision", std::to_string(seen_.value())}});
   std::vector<std::string> gone;
@@ -238,9 +238,28 @@
   Poll();
 }
 
+void FleetDuty::Reopen() {
+  if (store_ == nullptr || seen_ == StoreRevision{}) {
+    return;
+  }
+  watch_timer_.cancel();
+  Poll();
+}
+
+void FleetDuty::NoteSeen(StoreRevision revision) {
+  if (revision > seen_) {
+    seen_ = revision;
+    decisions_.Post(StoreSeen{revision.value()});
+  }
+}
+
 void FleetDuty::Poll() {
+  const std::uint64_t poll = ++poll_;
   store_->Poll({"", true, ""}, seen_, times_.wait,
-               [this](Result<StoreWatchUpdate>&& update) {
+               [this, poll](Result<StoreWatchUpdate>&& update) {
+                 if (poll != poll_) {
+                   return;
+                 }
                  NoteContact(bool{update},
                              update ? "" : update.error().message);
                  if (!update) {
@@ -261,7 +280,7 @@
       NoteMissing(change.key);
     }
   }
-  seen_ = std::max(seen_, update.revision);
+  NoteSeen(update.revision);
   if (update.changes.empty()) {
     return Poll();
   }
--- a/src/wire/load_codec.cc
+++ b/src/wire/load_codec.cc
@@ -30,18 +30,14 @@
 
 std::string EncodeLoadDigest(const LoadDigest& digest) {
   FlatBufferBuilder builder;
-  std::vector<Offset<wire::UpstreamShare>> shares;
+  std::vector<wire::UpstreamShare> shares;
   for (const UpstreamShare& share : digest.shares) {
-    const auto upstream = builder.CreateString(share.upstream.value());
-    shares.push_back(
-        wire::CreateUpstreamShare(builder, upstream, share.in_flight,
-                                  share.unread_tokens, share.sent_tokens));
+    shares.emplace_back(share.upstream.value(), share.in_flight,
+                        share.unread_tokens, share.sent_tokens);
   }
-  std::vector<Offset<wire::PartRead>> parts;
+  std::vector<wire::PartRead> parts;
   for (const PartRead& read : digest.parts) {
-    const auto upstream = builder.CreateString(read.upstream.value());
-    parts.push_back(wire::CreatePartRead(builder, upstream, read.part.id,
-                                         read.part.tokens));
+    parts.emplace_back(read.upstream.value(), read.part.id, read.part.tokens);
   }
   std::vector<Offset<wire::ServiceOffer>> offers;
   for (const ServiceOffer& offer : digest.offers) {
@@ -51,11 +47,18 @@
         builder, service, offer.usable, Microseconds(offer.start),
         static_cast<std::uint8_t>(std::lround(percent))));
   }
-  const auto share_list = builder.CreateVector(shares);
-  const auto part_list = builder.CreateVector(parts);
-  const auto offer_list = builder.CreateVector(offers);
-  builder.Finish(
-      wire::CreateLoadDigest(builder, share_list, part_list, offer_list));
+  // Empty lists take no bytes.
+  using Shares = Offset<flatbuffers::Vector<const wire::UpstreamShare*>>;
+  using Parts = Offset<flatbuffers::Vector<const wire::PartRead*>>;
+  using Offers = Offset<flatbuffers::Vector<Offset<wire::ServiceOffer>>>;
+  const Shares share_list =
+      shares.empty() ? Shares() : builder.CreateVectorOfStructs(shares);
+  const Parts part_list =
+      parts.empty() ? Parts() : builder.CreateVectorOfStructs(parts);
+  const Offers offer_list =
+      offers.empty() ? Offers() : builder.CreateVector(offers);
+  builder.Finish(wire::CreateLoadDigest(builder, share_list, part_list,
+                                        offer_list, digest.store_seen));
   std::string bytes(kTagBytes, kLoadDigestTag);
   for (std::size_t i = 0; i < builder.GetSize(); ++i) {
     bytes += static_cast<char>(builder.GetBufferPointer()[i]);
@@ -79,9 +82,10 @@
   }
   const wire::LoadDigest& table = *wire::GetLoadDigest(payload.data());
   LoadDigest digest;
+  digest.store_seen = table.store_seen();
   if (table.shares() != nullptr) {
     for (const wire::UpstreamShare* share : *table.shares()) {
-      digest.shares.push_back({UpstreamId{share->upstream()->str()},
+      digest.shares.push_back({UpstreamMark{share->upstream()},
                                share->in_flight(), share->unread_tokens(),
                                share->sent_tokens()});
     }
@@ -89,7 +93,7 @@
   if (table.parts() != nullptr) {
     for (const wire::PartRead* read : *table.parts()) {
       digest.parts.push_back(
-          {UpstreamId{read->upstream()->str()}, {read->id(), read->tokens()}});
+          {UpstreamMark{read->upstream()}, {read->id(), read->tokens()}});
     }
   }
   if (table.offers() != nullptr) {
--- a/tests/unit/fleet_gateway_test.cc
+++ b/tests/unit/fleet_gateway_test.cc
@@ -188,9 +188,9 @@
   const bool other_region = GENERATE(true, false);
   if (other_region) {
     world.Instance("mombasa-1", "mombasa");
-    world.Give(
-        LoadTold{InstanceId{"mombasa-1"},
-                 {{}, {}, {{ServiceId{"engines"}, 4, milliseconds(20), 0.1}}}});
+    world.Give(LoadTold{
+        InstanceId{"mombasa-1"},
+        {0, {}, {}, {{ServiceId{"engines"}, 4, milliseconds(20), 0.1}}}});
   }
   const auto [number, effects] = world.Request(Review());
   CHECK(Find<StartLinkAttempt>(effects).has_value() == other_region);
@@ -211,7 +211,7 @@
   world.Instance("mombasa-1", "mombasa");
   const std::uint32_t usable = GENERATE(0U, 1U);
   world.Give(LoadTold{InstanceId{"mombasa-1"},
-                      {{}, {}, {{ServiceId{"engines"}, usable, {}, 0}}}});
+                      {0, {}, {}, {{ServiceId{"engines"}, usable, {}, 0}}}});
   const auto [number, effects] = world.Request(To("/quote/1"));
   CHECK(Find<StartLinkAttempt>(effects).has_value() == (usable > 0));
 }
@@ -353,6 +353,61 @@
   CHECK(named == one.expected);
 }
 
+// A far region of any size costs a few links, and one that is lost is replaced.
+TEST_CASE("links go to every instance of the region and to a few of others") {
+  const std::size_t far = GENERATE(1U, 4U, 40U);
+  FleetGateway world;
+  for (int i = 0; i < 20; ++i) {
+    world.Instance("nairobi-" + std::to_string(i + 2), "nairobi");
+  }
+  for (std::size_t i = 0; i < far; ++i) {
+    world.Instance("mombasa-" + std::to_string(i), "mombasa");
+  }
+  const auto linked = [&world](const std::string& region) {
+    std::size_t count = 0;
+    for (const PeerState& peer : world.gateway().peers) {
+      count += peer.linked && peer.config.region == RegionId{region} ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(linked("nairobi") == 20);
+  const std::size_t before = linked("mombasa");
+  CHECK(before >= std::min<std::size_t>(far, 4));
+  for (const PeerState& peer : world.gateway().peers) {
+    if (peer.linked && peer.config.region == RegionId{"mombasa"}) {
+      world.Give(LinkChanged{peer.config.id, false});
+      break;
+    }
+  }
+  CHECK(linked("mombasa") >= std::min<std::size_t>(far, before));
+}
+
+TEST_CASE("a watch that misses what others were told is opened anew") {
+  FleetGateway world;
+  world.Instance("nairobi-2", "nairobi");
+  world.Give(StoreSeen{100});
+  const std::uint64_t seen = GENERATE(90U, 100U, 101U);
+  const auto tell = [&] {
+    return world.Give(LoadTold{InstanceId{"nairobi-2"}, {seen, {}, {}, {}}});
+  };
+  const auto reopens = [](const std::vector<Effect>& effects) {
+    for (const Effect& effect : effects) {
+      const auto* platform = std::get_if<ForPlatform>(&effect);
+      if (platform && std::holds_alternative<ReopenWatch>(platform->effect)) {
+        return true;
+      }
+    }
+    return false;
+  };
+  CHECK_FALSE(reopens(tell()));
+  world.Pass(seconds(2));
+  CHECK(reopens(tell()) == (seen > 100));
+  SECTION("but not while its own word is only late") {
+    world.Give(StoreSeen{101});
+    CHECK_FALSE(reopens(tell()));
+  }
+}
+
 TEST_CASE("an instance whose registration lapsed stays while its link lives") {
   FleetGateway world;
   world.Instance("mombasa-1", "mombasa");
