--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -32,8 +32,8 @@
   std::vector<ModelId> models;  ///< Empty for plain services.
   std::size_t concurrency = 8;
   bool honours_resume = false;
-  Endpoint endpoint;        ///< Of one that was learned at run time.
-  Incarnation incarnation;  ///< Its start; zero: not told.
+  Endpoint endpoint{};        ///< Of one that was learned at run time.
+  Incarnation incarnation{};  ///< Its start; zero: not told.
 };
 
 /// \brief Another instance.
@@ -42,7 +42,7 @@
   RegionId region;
   ZoneId zone;
   Endpoint entry;
-  Endpoint link;  ///< Where it takes links; of one learned at run time.
+  Endpoint link{};  ///< Where it takes links; of one learned at run time.
 };
 
 /// \brief Bounds that the decisions keep.
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -53,6 +53,8 @@
   Bytes credit;          ///< Body bytes it may pass on before more credit.
   std::optional<std::string> last_event_id;  ///< Resume after this event.
   std::uint8_t priority = Verdict::kDefaultPriority;  ///< From the rules.
+  /// An engine that keeps a part of the prompt, to copy it from.
+  std::optional<Endpoint> cache_source{};
 };
 
 /// \brief Give the request to another instance.
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -47,7 +47,7 @@
 struct AttemptAnswered {
   AttemptNumber attempt;
   AnswerHead head;
-  std::optional<LoadReport> load;  ///< What the upstream says of itself.
+  std::optional<LoadReport> load{};  ///< What the upstream says of itself.
 };
 
 /// \brief Part of an answer's body came in.
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -31,7 +31,8 @@
   bool evacuated = false;  ///< Its zone is to get nothing.
   ColdStart cold;
   EngineLoad load;
-  PrefixCache cache;  ///< Of an engine.
+  PrefixCache cache;             ///< Of an engine.
+  double copy_ms_per_token = 0;  ///< From another engine; zero: it cannot.
 };
 
 /// \brief The upstreams of one service, by what they offer.
@@ -67,6 +68,9 @@
   UpstreamId id;
   Expectation expected;
   double prompt_tokens = 0;  ///< That the upstream has to read.
+  /// Another engine that keeps the prompt's leading part, where this one does
+  /// not and a copy is faster than reading.
+  std::optional<Endpoint> cache_source{};
 };
 
 /// \returns The table, with nothing in flight.
@@ -100,6 +104,9 @@
   std::size_t limit = 1;             ///< Own attempts it may run at once.
   std::uint64_t cache_capacity = 0;  ///< Tokens of shared parts.
   double cold_rate = 0;  ///< Requests a second while cold; zero: any number.
+  /// Milliseconds to copy one token of KV cache between two engines; zero:
+  /// they do not.
+  double copy_ms_per_token = 0;
 };
 
 /// \brief An upstream appeared or changed. A new start of it has lost what
--- a/include/mimosagauge/impl/duties/callers/request.h
+++ b/include/mimosagauge/impl/duties/callers/request.h
@@ -20,9 +20,9 @@
 /// \brief A request for the instance itself.
 struct OwnRequest {
   OwnResource resource = OwnResource::kHealth;
-  AccountId account;  ///< Only of a question for the instances to use.
-  RegionId region;    ///< Of who asks, where it says so; else empty.
-  std::string host;   ///< That it asks for, where it says so; else empty.
+  AccountId account;   ///< Only of a question for the instances to use.
+  RegionId region{};   ///< Of who asks, where it says so; else empty.
+  std::string host{};  ///< That it asks for, where it says so; else empty.
 };
 
 /// \brief A request for an upstream, its body still to come.
--- a/include/mimosagauge/impl/duties/common/log.h
+++ b/include/mimosagauge/impl/duties/common/log.h
@@ -19,7 +19,7 @@
   std::string value;
 };
 
-/// \brief Starts the thread that writes the log, to standard error.
+/// \brief Starts the thread that writes the log, to standard output.
 /// \param level `debug`, `info`, `warning` or `error`.
 void StartLog(const std::string& level);
 
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -68,6 +68,7 @@
   start.remaining = record.due - turn.now;
   start.credit = Window(gateway, record);
   start.last_event_id = record.last_event_id;
+  start.cache_source = choice.cache_source;
   BeginWork(gateway.upstreams, id);
   record.running->expected = choice.expected;
   record.running->prompt_tokens = choice.prompt_tokens;
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -38,6 +38,14 @@
   if (profile->engine) {
     terms.kind = UpstreamKind::kEngine;
     terms.limit = record.config.concurrency * kEngineQueueFactor;
+    constexpr double kBitsPerByte = 8;
+    constexpr double kMillisecondsPerSecond = 1000;
+    const auto width = static_cast<double>(profile->engine->copy_width.count());
+    if (width > 0) {
+      terms.copy_ms_per_token =
+          static_cast<double>(profile->engine->token_bytes) * kBitsPerByte /
+          width * kMillisecondsPerSecond;
+    }
     terms.cache_capacity = static_cast<std::uint64_t>(
         kSharedMemoryPart *
         static_cast<double>(profile->engine->memory_tokens));
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -80,6 +80,7 @@
   const UpstreamState* upstream = nullptr;
   Expectation expected;
   Duration cost{};  // The start, and what the choice costs others.
+  const UpstreamState* keeper = nullptr;  // To copy from; null: it reads.
   double prompt_tokens = 0;
 };
 
@@ -115,16 +116,57 @@
   return question;
 }
 
+// An engine that may be asked for its copy of a part.
+[[nodiscard]] const UpstreamState* KeeperOf(const UpstreamTable& table,
+                                            const UpstreamNeed& need,
+                                            TimePoint now) {
+  const PromptPart* part = need.prompt ? LeadingPart(*need.prompt) : nullptr;
+  const UpstreamState* keeper = nullptr;
+  if (part != nullptr) {
+    AnyOffering(table, need, [&](const UpstreamState& upstream) {
+      const bool keeps = !upstream.leaving && !upstream.evacuated &&
+                         upstream.ejected_until <= now &&
+                         !IsCold(upstream.cold, now) &&
+                         upstream.cache.index.count(part->id) != 0;
+      keeper = keeps ? &upstream : nullptr;
+      return keeps;
+    });
+  }
+  return keeper;
+}
+
+// Tokens that a copy of the leading part takes the time of; none where it
+// would take as long as reading.
+[[nodiscard]] std::optional<double> CopyInTokens(const UpstreamTable& table,
+                                                 const UpstreamState& upstream,
+                                                 const PromptPart& part) {
+  const double tokens = part.tokens * upstream.copy_ms_per_token *
+                        table.speeds.prompt_tokens_per_ms;
+  const bool faster = upstream.copy_ms_per_token > 0 && tokens < part.tokens;
+  return faster ? std::optional(tokens) : std::nullopt;
+}
+
 [[nodiscard]] Candidate Weigh(const UpstreamTable& table,
                               const UpstreamState& upstream,
                               const UpstreamNeed& need, bool preferred,
-                              TimePoint now) {
+                              const UpstreamState* keeper, TimePoint now) {
   Candidate candidate;
   candidate.upstream = &upstream;
   LoadQuestion question = QuestionFor(upstream);
   if (question.engine && need.prompt != nullptr) {
     question.prompt_tokens = ExpectedTokens(upstream, *need.prompt, preferred);
     question.output_tokens = need.prompt->tokens_out;
+    const PromptPart* part = LeadingPart(*need.prompt);
+    const bool missing =
+        part != nullptr && upstream.cache.index.count(part->id) == 0;
+    if (missing && keeper != nullptr && keeper != &upstream) {
+      if (const auto copy = CopyInTokens(table, upstream, *part)) {
+        question.prompt_tokens =
+            need.prompt->tokens_in -
+            std::min<double>(need.prompt->tokens_in, part->tokens) + *copy;
+        candidate.keeper = keeper;
+      }
+    }
   }
   candidate.prompt_tokens = question.prompt_tokens;
   candidate.expected = Expect(upstream.load, question, table.speeds, now);
@@ -246,16 +288,21 @@
     return std::nullopt;
   }
   const UpstreamState* preferred = Preferred(usable, need.prompt);
+  const UpstreamState* keeper = KeeperOf(table, need, now);
   std::optional<Candidate> best;
   for (const UpstreamState* upstream : usable) {
     const Candidate candidate =
-        Weigh(table, *upstream, need, upstream == preferred, now);
+        Weigh(table, *upstream, need, upstream == preferred, keeper, now);
     if (!best || Beats(candidate, *best, need, zone)) {
       best = candidate;
     }
   }
-  return UpstreamChoice{best->upstream->config.id, best->expected,
+  UpstreamChoice choice{best->upstream->config.id, best->expected,
                         best->prompt_tokens};
+  if (best->keeper != nullptr) {
+    choice.cache_source = best->keeper->config.endpoint;
+  }
+  return choice;
 }
 
 void LearnUpstream(UpstreamTable& table, const UpstreamRecord& record,
@@ -280,6 +327,7 @@
   known->kind = terms.kind;
   known->limit = std::max<std::size_t>(1, terms.limit);
   known->cache.capacity = terms.cache_capacity;
+  known->copy_ms_per_token = terms.copy_ms_per_token;
   known->leaving = known->leaving || record.leaving;
   known->cold.rate = terms.cold_rate;
   LearnCold(known->cold, record.cold_left, now);
--- a/src/duties/common/log.cc
+++ b/src/duties/common/log.cc
@@ -6,7 +6,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -30,6 +32,20 @@
   return spdlog::level::info;
 }
 
+// How often the writer's losses are looked at, in entries.
+constexpr std::uint64_t kEntriesPerLossCheck = 256;
+
+// Entries that the ring had no room for, since they were told last.
+[[nodiscard]] std::size_t LossesToTell() {
+  static std::atomic<std::uint64_t> entries{0};
+  static std::atomic<std::size_t> told{0};
+  if (++entries % kEntriesPerLossCheck != 0 || !spdlog::thread_pool()) {
+    return 0;
+  }
+  const std::size_t lost = spdlog::thread_pool()->overrun_counter();
+  return lost - told.exchange(lost);
+}
+
 // Writes the entry; `add_fields` completes it.
 template <typename AddFields>
 void Write(const LogEvent& event, AddFields&& add_fields) {
@@ -49,13 +65,16 @@
       entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   // The braces come from the pattern.
   logger->log(level, "{}", text.substr(1, text.size() - 2));
+  if (const std::size_t lost = LossesToTell(); lost > 0) {
+    Log(log_events::kLogLinesLost, {{"entries", std::to_string(lost)}});
+  }
 }
 
 }  // namespace
 
 void StartLog(const std::string& level) {
   spdlog::init_thread_pool(kLogRingEntries, kLogThreads);
-  auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
   auto logger = std::make_shared<spdlog::async_logger>(
       "mimosagauge", std::move(sink), spdlog::thread_pool(),
       spdlog::async_overflow_policy::overrun_oldest);
--- a/tests/support/fleet_gateway.h
+++ b/tests/support/fleet_gateway.h
@@ -61,8 +61,8 @@
   [[nodiscard]] static RouteCatalogue Catalogue(std::uint64_t revision);
 
  private:
-  Gateway gateway_;
   TimePoint now_{std::chrono::seconds(1000)};
+  Gateway gateway_;
   std::uint64_t next_number_ = 2;
 };
 
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -93,6 +93,48 @@
   CHECK((Choose(table, Review(7)) == home) == stays);
 }
 
+// A hot part is wanted at a second engine: copied, not read again.
+TEST_CASE("a part that another engine keeps is copied where that is faster") {
+  struct Case {
+    double copy_ms_per_token;
+    bool keeper_leaves;
+    bool copies;
+  };
+  const Case one = GENERATE(values<Case>({
+      {0.0048, false, true},  // 64 ms against 266 ms of reading.
+      {0.0048, true, false},
+      {0.1, false, false},  // Slower than reading.
+      {0, false, false},    // These engines do not copy.
+  }));
+  CAPTURE(one.copy_ms_per_token, one.keeper_leaves);
+  UpstreamTable table;
+  for (const char* id : {"engine-0", "engine-1"}) {
+    UpstreamRecord record = Engine(id);
+    record.config.endpoint = {
+        "10.1.64.1", id[7] == '0' ? std::uint16_t{80} : std::uint16_t{81}};
+    LearnUpstream(
+        table, record,
+        {UpstreamKind::kEngine, 128, 245000, 4.5, one.copy_ms_per_token},
+        kStart);
+  }
+  UpstreamState* keeper = FindUpstream(table, UpstreamId{"engine-0"});
+  Touch(keeper->cache, Review(7));
+  keeper->leaving = one.keeper_leaves;
+  keeper->in_flight = keeper->limit;
+  const Prompt prompt = Review(7);
+  UpstreamNeed need;
+  need.service = kEngines;
+  need.prompt = &prompt;
+  const auto choice = ChooseUpstream(table, need, kZone, kRegion, kStart);
+  REQUIRE(choice);
+  CHECK(choice->id == UpstreamId{"engine-1"});
+  CHECK(choice->cache_source.has_value() == one.copies);
+  if (one.copies) {
+    CHECK(choice->cache_source->port == 80);
+    CHECK(choice->prompt_tokens < 17020 / 2);
+  }
+}
+
 TEST_CASE("requests without a prompt spread over equal upstreams") {
   const UpstreamTable table = Engines(6);
   std::set<std::string> used;
