--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -1,6 +1,8 @@
 // Where a request goes: an upstream of this region, another instance, or the
 // waiting queue.
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -156,6 +158,16 @@
                     const Expectation& expected) {
   Problem problem = Overloaded(record.outcome.run);
   const Duration left = record.due - turn.now;
+  const auto milliseconds = [](Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+        .count();
+  };
+  constexpr double kPercent = 100;
+  problem.detail = fmt::format(
+      "an answer would begin in {} ms and end in {} ms at the upstream that "
+      "is soonest, which reads prompts {:.0f}% of its time; {} ms are left",
+      milliseconds(expected.start), milliseconds(expected.end),
+      expected.reading * kPercent, milliseconds(left));
   problem.retry_after = std::max(
       RetryAfter(left),
       std::min(expected.start - Part(record.verdict.objective, kSoonEnough),
