--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -24,9 +24,11 @@
 
 /// \brief Times of the duty.
 struct FleetTimes {
-  /// A waiting call is held that long by the store. It is also how long a
-  /// connection that went silent goes unnoticed.
-  Duration wait = std::chrono::seconds(8);
+  /// A waiting call is held that long by the store. All watches may go silent
+  /// at once, so with `answer` it is also how long that goes unnoticed.
+  Duration wait = std::chrono::seconds(4);
+  /// For the answer to a call beside that.
+  Duration answer = std::chrono::seconds(1);
   /// Between an answer and the next call, so that changes come in batches.
   Duration batch = std::chrono::milliseconds(500);
   /// Between tries while the store does not answer.
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -12,19 +12,20 @@
 namespace mimosagauge {
 namespace {
 
-constexpr Duration kReadTimeout = std::chrono::milliseconds(1000);
-constexpr Duration kCallTimeout = std::chrono::milliseconds(2000);
+// Of the time for one answer, with all tries of a call.
+constexpr int kTriesPerCall = 2;
 constexpr Duration kLongestBackoff = std::chrono::milliseconds(500);
 constexpr int kRenewalsPerSession = 3;
 
 [[nodiscard]] StoreClientSettings ClientSettings(const Settings& settings,
-                                                 const StoreDialect& dialect) {
+                                                 const StoreDialect& dialect,
+                                                 const FleetTimes& times) {
   StoreClientSettings client;
   client.dialect = &dialect;
   client.endpoints = settings.store;
-  client.connect_timeout = kReadTimeout;
-  client.read_timeout = kReadTimeout;
-  client.call_timeout = kCallTimeout;
+  client.connect_timeout = times.answer;
+  client.read_timeout = times.answer;
+  client.call_timeout = times.answer * kTriesPerCall;
   client.longest_backoff = kLongestBackoff;
   client.seed = std::random_device{}();
   return client;
@@ -63,8 +64,8 @@
                         "instances/"),
       prefixes_{FolderOf(dialect.configuration_key),
                 std::string(dialect.upstreams_prefix), instances_prefix_},
-      store_(std::make_shared<StoreClient>(io_context,
-                                           ClientSettings(settings, store))),
+      store_(std::make_shared<StoreClient>(
+          io_context, ClientSettings(settings, store, times))),
       watch_timer_(io_context),
       renewal_timer_(io_context),
       missing_timer_(io_context),
