Refusals in other regions are retried within the budget

Ruled out: the sharing of the budget (71 instances known). Change: a problem of another instance counts as an arrival.

--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -80,7 +80,9 @@
 
 // Whether the upstream was given the request, also if it refused it.
 [[nodiscard]] bool Arrived(const AttemptFailed& event) {
+  // Another instance that answers with a problem has tried its upstreams.
   return event.run != RunState::kNotRun || event.misdirected ||
+         event.problem.has_value() ||
          event.error.kind == ErrorKind::kOverloaded;
 }
 
--- a/tests/unit/fleet_gateway_test.cc
+++ b/tests/unit/fleet_gateway_test.cc
@@ -322,6 +322,33 @@
   CHECK(static_cast<double>(extra) <= allowed + 1);
 }
 
+// Regions whose services shed: each refusal there was an arrival.
+TEST_CASE("refusals in other regions are retried within the same budget") {
+  FleetGateway world;
+  for (int i = 0; i < 6; ++i) {
+    world.Instance("mombasa-" + std::to_string(i), "mombasa");
+  }
+  Problem refusal;
+  refusal.status = 503;
+  refusal.run = RunState::kNotRun;
+  std::size_t extra = 0;
+  constexpr std::size_t kRequests = 200;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    auto [number, effects] = world.Request(To("/status/1"));
+    auto start = Find<StartLinkAttempt>(effects);
+    while (start) {
+      effects = world.Give(AttemptFailed{start->attempt,
+                                         RunState::kNotRun,
+                                         {ErrorKind::kUnavailable, "shed", ""},
+                                         refusal});
+      start = Find<StartLinkAttempt>(effects);
+      extra += start ? 1 : 0;
+    }
+  }
+  CHECK(extra > 0);
+  CHECK(static_cast<double>(extra) <= 0.2 * kRequests + 50.0 / 7 + 1);
+}
+
 TEST_CASE("callers are led to instances of their region, while it has any") {
   FleetGateway world;
   struct Case {
