Under the product's own rules a busy upstream is waited for again

Cause: when regions came to be chosen by what they offer, the look at other regions moved before the wait for a busy upstream of this one, for both forms. Two branches that could not be reached are gone: without a catalogue a remote choice was taken above, and CanServe implies CanServeLater. Under the operators' configuration nothing changes.

--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -241,26 +241,26 @@
   if (local && IsSoonEnough(gateway, record, *local)) {
     return StartOnUpstream(turn, record, *local);
   }
+  // The product's own rules do not say what waiting costs, so a request leaves
+  // its region only when nothing there can serve it.
+  if (gateway.catalogue == nullptr && here &&
+      CanServe(gateway.upstreams, need, region, turn.now)) {
+    return Wait(turn, record);
+  }
   const RemoteChoice remote = MayForward(record)
                                   ? ChooseRemote(gateway, record, turn.now)
                                   : RemoteChoice{};
-  if (remote.peer != nullptr &&
-      (!local || remote.expected.start < local->expected.start)) {
-    if (gateway.catalogue == nullptr || FitsIn(turn, record, remote.expected)) {
-      return StartOnInstance(turn, record, *remote.peer);
-    }
+  const bool sooner = remote.peer != nullptr &&
+                      (!local || remote.expected.start < local->expected.start);
+  if (sooner &&
+      (gateway.catalogue == nullptr || FitsIn(turn, record, remote.expected))) {
+    return StartOnInstance(turn, record, *remote.peer);
   }
   if (local) {
     return FitsIn(turn, record, local->expected)
                ? StartOnUpstream(turn, record, *local)
                : RefuseOverload(turn, record, local->expected);
   }
-  if (remote.peer != nullptr && gateway.catalogue == nullptr) {
-    return StartOnInstance(turn, record, *remote.peer);
-  }
-  if (here && CanServe(gateway.upstreams, need, region, turn.now)) {
-    return Wait(turn, record);
-  }
   if (here && CanServeLater(gateway.upstreams, need, region)) {
     return Wait(turn, record);
   }
