One piece where the change had written two: reading time, listeners, peers, usable upstreams

One ReadingTime (engine_load.h); OpenListener for the three duties that listen; FindPeer for four searches; Serves for two copies of a check; Milliseconds for three. Gone: a counter and a setting that nothing read, a maximum that its second operand always was, an event that nothing wrote. Records that repeat what is known no longer rebuild the index of upstreams. The entry for SIGHUP said that the settings were read again; they are not, and it says so now.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -120,11 +120,9 @@
 inline constexpr LogEvent kRegistrationLost{
     7004, LogLevel::kWarning, "the registration of this instance has lapsed",
     "none; it is made again"};
-inline constexpr LogEvent kSettingsReread{1005, LogLevel::kInfo,
-                                          "the settings were read again", ""};
-inline constexpr LogEvent kSettingsRefused{
-    1006, LogLevel::kWarning, "changed settings do not hold and are left aside",
-    "mend the fault; the settings read before stay in force"};
+inline constexpr LogEvent kSettingsKept{
+    1005, LogLevel::kInfo, "a hang-up signal came; the settings stay as read",
+    "restart the instance for changed settings"};
 inline constexpr LogEvent kLogLinesLost{
     1007, LogLevel::kWarning, "log entries were left out",
     "the log is written faster than its reader takes it"};
--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -64,10 +64,9 @@
   Duration placement_spread{};
   /// Extra arrivals at a service for each of its requests, over all instances.
   double retry_ratio = 0.1;
-  /// Extra arrivals at a service beyond that ratio within `retry_window`, over
-  /// all instances.
+  /// Extra arrivals at a service beyond that ratio in any window, over all
+  /// instances.
   double retry_slack = 10;
-  Duration retry_window = std::chrono::seconds(10);
 };
 
 /// \brief The decisions' settings.
--- a/include/mimosagauge/impl/decisions/engine_load.h
+++ b/include/mimosagauge/impl/decisions/engine_load.h
@@ -32,6 +32,9 @@
   Duration plain_service = std::chrono::milliseconds(40);  ///< Of a plain one.
 };
 
+/// \returns How long an engine reads so many tokens of prompts.
+[[nodiscard]] Duration ReadingTime(double tokens, const EngineSpeeds& speeds);
+
 /// \brief What another instance has at the upstream, as it told.
 struct ForeignLoad {
   std::size_t in_flight = 0;
@@ -41,10 +44,9 @@
 
 /// \brief An upstream's queue as one instance sees it.
 struct EngineLoad {
-  double unread_tokens = 0;    ///< Own prompts sent, their answers not begun.
-  std::size_t unanswered = 0;  ///< Own requests sent, their answers not begun.
-  LoadReport report;           ///< The newest one.
-  TimePoint reported_at{};     ///< The start: none came yet.
+  double unread_tokens = 0;  ///< Own prompts sent, their answers not begun.
+  LoadReport report;         ///< The newest one.
+  TimePoint reported_at{};   ///< The start: none came yet.
   std::size_t own_at_report = 0;  ///< Own requests in flight then.
   std::unordered_map<InstanceId, ForeignLoad> foreign;
   /// Tokens that all instances have given it to read, fading with time.
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -3,6 +3,7 @@
 #ifndef MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
 #define MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -46,6 +47,13 @@
 /// The problem's `run` becomes what is known of the request.
 void Refuse(Turn& turn, RequestRecord& record, Problem problem);
 
+/// \returns Whole milliseconds, for entries of the log.
+[[nodiscard]] std::string Milliseconds(Duration duration);
+
+/// \returns The instance, or null when it is not known.
+[[nodiscard]] PeerState* FindPeer(Gateway& gateway,
+                                  const InstanceId& id) noexcept;
+
 /// \brief Writes down how a request ended.
 /// \param status What its other side was told; zero: nothing.
 void LogEnd(Turn& turn, const RequestRecord& record, const LogEvent& event,
--- a/include/mimosagauge/impl/duties/instance.h
+++ b/include/mimosagauge/impl/duties/instance.h
@@ -27,7 +27,7 @@
 
 /// \brief Runs an instance until it is told to stop and has finished.
 ///
-/// SIGHUP reads the settings file again. SIGTERM or SIGINT begins a graceful
+/// SIGHUP changes nothing. SIGTERM or SIGINT begins a graceful
 /// shutdown; a second one ends at once. \returns Whether everything in progress
 /// was finished; an error when the instance could not start.
 [[nodiscard]] Result<bool> RunInstance(const Settings& settings,
--- a/src/decisions/engine_load.cc
+++ b/src/decisions/engine_load.cc
@@ -31,12 +31,6 @@
   return static_cast<double>(a.count()) / static_cast<double>(b.count());
 }
 
-[[nodiscard]] Duration ReadingTime(double tokens, const EngineSpeeds& speeds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(
-          tokens / std::max(1.0, speeds.prompt_tokens_per_ms)));
-}
-
 [[nodiscard]] double RecentTokens(const EngineLoad& load, TimePoint now) {
   if (load.recent_tokens == 0) {
     return 0;
@@ -93,6 +87,12 @@
 
 }  // namespace
 
+Duration ReadingTime(double tokens, const EngineSpeeds& speeds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(
+          tokens / std::max(1.0, speeds.prompt_tokens_per_ms)));
+}
+
 void LearnLoad(EngineLoad& load, const LoadReport& report, std::size_t own,
                TimePoint now) {
   load.report = report;
@@ -126,7 +126,6 @@
 
 void CountPrompt(EngineLoad& load, double tokens, TimePoint now) {
   load.unread_tokens += tokens;
-  ++load.unanswered;
   load.untold_tokens += tokens;
   AddRecent(load, tokens, now);
 }
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -327,23 +327,16 @@
 }
 
 void Handle(Turn& turn, LinkChanged&& event) {
-  for (PeerState& peer : turn.gateway.peers) {
-    if (peer.config.id == event.instance) {
-      peer.up = event.up;
-      peer.leaving = event.leaving ? std::optional(turn.now) : std::nullopt;
-    }
+  if (PeerState* peer = FindPeer(turn.gateway, event.instance)) {
+    peer->up = event.up;
+    peer->leaving = event.leaving ? std::optional(turn.now) : std::nullopt;
   }
   if (!event.up && turn.gateway.catalogue != nullptr) {
     KeepLinks(turn);
   }
   ShareOut(turn.gateway);
-  const bool unlisted =
-      std::any_of(turn.gateway.peers.begin(), turn.gateway.peers.end(),
-                  [&event](const PeerState& peer) {
-                    return peer.config.id == event.instance && !peer.up &&
-                           !peer.leaving && !peer.listed;
-                  });
-  if (unlisted) {
+  const PeerState* peer = FindPeer(turn.gateway, event.instance);
+  if (peer != nullptr && !peer->up && !peer->leaving && !peer->listed) {
     Handle(turn, InstanceRemoved{event.instance});
   }
   turn.gateway.all_freed = true;
@@ -424,29 +417,35 @@
   EngineLoad& load = upstream->load;
   load.unread_tokens =
       std::max(0.0, load.unread_tokens - attempt.prompt_tokens);
-  load.unanswered -= load.unanswered > 0 ? 1 : 0;
   if (answered && upstream->kind == UpstreamKind::kEngine) {
     LearnStart(load, attempt.expected.start, turn.now - attempt.started);
   }
 }
 
+std::string Milliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+PeerState* FindPeer(Gateway& gateway, const InstanceId& id) noexcept {
+  const auto found = std::find_if(
+      gateway.peers.begin(), gateway.peers.end(),
+      [&id](const PeerState& peer) { return peer.config.id == id; });
+  return found == gateway.peers.end() ? nullptr : &*found;
+}
+
 void LogEnd(Turn& turn, const RequestRecord& record, const LogEvent& event,
             std::uint16_t status, const std::string& detail) {
-  const auto milliseconds = [](Duration duration) {
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-            .count());
-  };
   const RequestHead& head = *record.arrival.head;
   WriteLog log{event,
                {{"request", head.id.value()},
                 {"service", record.verdict.service.value()},
-                {"took_ms", milliseconds(turn.now - record.arrived)}}};
+                {"took_ms", Milliseconds(turn.now - record.arrived)}}};
   if (record.arrival.origin == Origin::kLink && !head.path.empty()) {
     log.fields.emplace_back("from", head.path.back().name);
   }
   if (record.first_part > Duration::zero()) {
-    log.fields.emplace_back("first_ms", milliseconds(record.first_part));
+    log.fields.emplace_back("first_ms", Milliseconds(record.first_part));
   }
   if (record.attempts > 0) {
     log.fields.emplace_back("attempts", std::to_string(record.attempts));
@@ -457,7 +456,7 @@
   }
   if (event.number != log_events::kRequestAnswered.number) {
     log.fields.emplace_back("run", std::string(ToString(record.outcome.run)));
-    log.fields.emplace_back("due_in_ms", milliseconds(record.due - turn.now));
+    log.fields.emplace_back("due_in_ms", Milliseconds(record.due - turn.now));
     log.fields.emplace_back("in_progress",
                             std::to_string(turn.gateway.requests.size()));
   }
--- a/src/decisions/gateway_keys.cc
+++ b/src/decisions/gateway_keys.cc
@@ -20,8 +20,8 @@
   Refuse(turn, record, std::move(problem));
 }
 
-[[nodiscard]] const PeerConfig* FindPeer(const Gateway& gateway,
-                                         const InstanceId& id) {
+[[nodiscard]] const PeerConfig* FindLinked(const Gateway& gateway,
+                                           const InstanceId& id) {
   for (const PeerState& peer : gateway.peers) {
     if (peer.config.id == id && peer.up) {
       return &peer.config;
@@ -34,7 +34,7 @@
 // the owner and is not has no further to go.
 void ForwardToOwner(Turn& turn, RequestRecord& record,
                     const InstanceId& owner) {
-  const PeerConfig* peer = FindPeer(turn.gateway, owner);
+  const PeerConfig* peer = FindLinked(turn.gateway, owner);
   const bool may = record.arrival.origin == Origin::kCaller &&
                    peer != nullptr && MayGoTo(record, *peer);
   if (!may) {
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -225,11 +225,8 @@
 
 void Handle(Turn& turn, LoadTold&& event) {
   Gateway& gateway = turn.gateway;
-  const auto peer = std::find_if(gateway.peers.begin(), gateway.peers.end(),
-                                 [&event](const PeerState& known) {
-                                   return known.config.id == event.from;
-                                 });
-  if (peer == gateway.peers.end()) {
+  const PeerState* peer = FindPeer(gateway, event.from);
+  if (peer == nullptr) {
     return;  // It comes with the next one, once the instance is known.
   }
   if (IsNear(gateway, *peer)) {
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -158,16 +158,12 @@
                     const Expectation& expected) {
   Problem problem = Overloaded(record.outcome.run);
   const Duration left = record.due - turn.now;
-  const auto milliseconds = [](Duration duration) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-        .count();
-  };
   constexpr double kPercent = 100;
   problem.detail = fmt::format(
       "an answer would begin in {} ms and end in {} ms at the upstream that "
       "is soonest, which reads prompts {:.0f}% of its time; {} ms are left",
-      milliseconds(expected.start), milliseconds(expected.end),
-      expected.reading * kPercent, milliseconds(left));
+      Milliseconds(expected.start), Milliseconds(expected.end),
+      expected.reading * kPercent, Milliseconds(left));
   problem.retry_after = std::max(
       RetryAfter(left),
       std::min(expected.start - Part(record.verdict.objective, kSoonEnough),
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -2,7 +2,6 @@
 // upstreams and other instances.
 
 #include <algorithm>
-#include <functional>
 #include <map>
 #include <utility>
 
@@ -84,11 +83,6 @@
       ForUpstreams{UseUpstream{record.config, terms.kind}});
 }
 
-[[nodiscard]] std::string Milliseconds(Duration duration) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 void KeepLinks(Turn& turn) {
@@ -132,10 +126,8 @@
   if (gateway.catalogue == nullptr) {
     return;
   }
-  const auto up = static_cast<std::size_t>(
-      std::count_if(gateway.peers.begin(), gateway.peers.end(),
-                    [](const PeerState& peer) { return peer.up; }));
-  const std::size_t instances = std::max(up, gateway.peers.size()) + 1;
+  // Those whose links are down may be spending too.
+  const std::size_t instances = gateway.peers.size() + 1;
   const GatewayLimits& limits = gateway.config.limits;
   for (auto& [service, budget] : gateway.budgets) {
     ShareBudget(budget, {limits.retry_ratio, limits.retry_slack}, instances);
@@ -232,12 +224,9 @@
   if (event.peer.id == gateway.config.instance) {
     return;
   }
-  auto known = std::find_if(gateway.peers.begin(), gateway.peers.end(),
-                            [&event](const PeerState& peer) {
-                              return peer.config.id == event.peer.id;
-                            });
-  if (known == gateway.peers.end()) {
-    known = gateway.peers.insert(known, PeerState{});
+  PeerState* known = FindPeer(gateway, event.peer.id);
+  if (known == nullptr) {
+    known = &gateway.peers.emplace_back();
   }
   known->config = event.peer;
   known->listed = true;
@@ -255,10 +244,8 @@
 
 void Handle(Turn& turn, InstanceRemoved&& event) {
   Gateway& gateway = turn.gateway;
-  const auto known = std::find_if(
-      gateway.peers.begin(), gateway.peers.end(),
-      [&event](const PeerState& peer) { return peer.config.id == event.id; });
-  if (known == gateway.peers.end()) {
+  PeerState* known = FindPeer(gateway, event.id);
+  if (known == nullptr) {
     return;
   }
   if (known->up || known->leaving) {
@@ -266,7 +253,9 @@
     known->listed = false;
     return;
   }
-  gateway.peers.erase(known);
+  std::erase_if(gateway.peers, [&event](const PeerState& peer) {
+    return peer.config.id == event.id;
+  });
   Apply(turn, ChangeMember(gateway.spread, event.id, false));
   turn.effects.emplace_back(
       WriteLog{log_events::kInstanceGone, {{"peer", event.id.value()}}});
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -75,6 +75,12 @@
   return a_near && !b_near;
 }
 
+// Whether it serves requests of any kind; what it must offer is not looked at.
+[[nodiscard]] bool Serves(const UpstreamState& upstream, TimePoint now) {
+  return !upstream.leaving && !upstream.evacuated &&
+         upstream.ejected_until <= now && !IsCold(upstream.cold, now);
+}
+
 // One of the usable upstreams and how it compares.
 struct Candidate {
   const UpstreamState* upstream = nullptr;
@@ -90,12 +96,6 @@
 // An upstream that others would choose for a prompt has probably read it.
 constexpr double kPreferredDiscount = 0.5;
 
-[[nodiscard]] Duration ReadingTime(double tokens, const EngineSpeeds& speeds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(
-          tokens / std::max(1.0, speeds.prompt_tokens_per_ms)));
-}
-
 // Tokens of the prompt that the upstream would probably have to read.
 [[nodiscard]] double ExpectedTokens(const UpstreamState& upstream,
                                     const Prompt& prompt, bool preferred) {
@@ -124,10 +124,8 @@
   const UpstreamState* keeper = nullptr;
   if (part != nullptr) {
     AnyOffering(table, need, [&](const UpstreamState& upstream) {
-      const bool keeps = !upstream.leaving && !upstream.evacuated &&
-                         upstream.ejected_until <= now &&
-                         !IsCold(upstream.cold, now) &&
-                         upstream.cache.index.count(part->id) != 0;
+      const bool keeps =
+          Serves(upstream, now) && upstream.cache.index.count(part->id) != 0;
       keeper = keeps ? &upstream : nullptr;
       return keeps;
     });
@@ -312,6 +310,8 @@
     table.upstreams.emplace_back().config.id = record.config.id;
     known = &table.upstreams.back();
   }
+  const bool same_offer = known->config.service == record.config.service &&
+                          known->config.models == record.config.models;
   const bool restarted =
       known->config.incarnation != record.config.incarnation ||
       known->config.endpoint != record.config.endpoint;
@@ -331,7 +331,10 @@
   known->leaving = known->leaving || record.leaving;
   known->cold.rate = terms.cold_rate;
   LearnCold(known->cold, record.cold_left, now);
-  Reindex(table);
+  // Most records repeat what is known but for its state.
+  if (!same_offer) {
+    Reindex(table);
+  }
 }
 
 bool ForgetUpstream(UpstreamTable& table, const UpstreamId& id) {
@@ -363,10 +366,7 @@
   }
   for (const std::size_t position : found->second.all) {
     const UpstreamState& upstream = table.upstreams[position];
-    const bool usable = !upstream.leaving && !upstream.evacuated &&
-                        upstream.ejected_until <= now &&
-                        !IsCold(upstream.cold, now) && HasRoom(upstream, now);
-    if (!usable) {
+    if (!Serves(upstream, now) || !HasRoom(upstream, now)) {
       continue;
     }
     const Expectation expected =
--- a/src/duties/callers/server.cc
+++ b/src/duties/callers/server.cc
@@ -16,6 +16,7 @@
 #include "mimosagauge/impl/duties/callers/connection.h"
 #include "mimosagauge/impl/duties/callers/problems.h"
 #include "mimosagauge/impl/duties/common/hash.h"
+#include "mimosagauge/impl/duties/common/listener.h"
 #include "mimosagauge/impl/duties/common/log.h"
 
 namespace mimosagauge::detail {
@@ -124,23 +125,9 @@
 
 Result<void> CallerServer::ListenOn(const Endpoint& endpoint,
                                     const char* setting, ListenerKind kind) {
-  error_code error;
-  const auto address = asio::ip::make_address(endpoint.address, error);
-  const asio::ip::tcp::endpoint at(address, endpoint.port);
   Listener& listener = listeners_.emplace_back(
       Listener{kind, asio::ip::tcp::acceptor(io_), asio::steady_timer(io_)});
-  if (!error) {
-    listener.acceptor.open(at.protocol(), error);
-  }
-  if (!error) {
-    listener.acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    listener.acceptor.bind(at, error);
-  }
-  if (!error) {
-    listener.acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
+  const error_code error = OpenListener(listener.acceptor, endpoint);
   if (error) {
     return Error{
         ErrorKind::kUnavailable,
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -306,7 +306,7 @@
         if (signal == SIGHUP) {
           // What an instance is stays as it started; the rest comes from the
           // store.
-          Log(log_events::kSettingsReread);
+          Log(log_events::kSettingsKept);
         } else if (std::exchange(draining_, true)) {
           process_.stop();
           return;
--- a/src/duties/links/server.cc
+++ b/src/duties/links/server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <variant>
 
+#include "mimosagauge/impl/duties/common/listener.h"
 #include "mimosagauge/impl/duties/common/log.h"
 #include "mimosagauge/impl/duties/links/gossip.h"
 #include "mimosagauge/impl/duties/links/log.h"
@@ -140,22 +141,7 @@
 Result<void> LinkServer::Start(LinkTlsContextPtr tls, HelloMessage own) {
   tls_ = std::move(tls);
   own_ = std::move(own);
-  boost::system::error_code error;
-  const auto address = asio::ip::make_address(settings_.peer.address, error);
-  if (error) {
-    return CannotListen(settings_.peer, error);
-  }
-  const asio::ip::tcp::endpoint endpoint(address, settings_.peer.port);
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  }
+  boost::system::error_code error = OpenListener(acceptor_, settings_.peer);
   if (error) {
     return CannotListen(settings_.peer, error);
   }
--- a/src/duties/operators/server.cc
+++ b/src/duties/operators/server.cc
@@ -4,7 +4,6 @@
 
 #include <openssl/crypto.h>
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -14,6 +13,7 @@
 #include <utility>
 
 #include "documents.h"
+#include "mimosagauge/impl/duties/common/listener.h"
 #include "mimosagauge/impl/duties/common/log.h"
 
 namespace mimosagauge::detail {
@@ -200,19 +200,7 @@
       handler_(std::move(handler)) {}
 
 Result<Endpoint> OperatorsServer::Listen(const Endpoint& endpoint) {
-  const asio::ip::tcp::endpoint local(asio::ip::make_address(endpoint.address),
-                                      endpoint.port);
-  error_code error;
-  acceptor_.open(local.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(local, error);
-  }
-  if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  }
+  const error_code error = OpenListener(acceptor_, endpoint);
   if (error) {
     return Error{ErrorKind::kUnavailable,
                  "cannot listen for operators on " + ToString(endpoint) + ": " +
