A shared part belongs to one region; full upstreams rest; the region counts failures together

Of the plain service's arrivals 26% were refused as full; each counted as a failure, so three in a row ejected one of two or three upstreams. Upstreams that fail two requests of five were never ejected: an instance of 24 sees too few of their answers, and error answers of requests that may not be repeated were not counted.

Change: part_home.h, weighted rendezvous of parts over regions by the upstreams that each says it has; a request whose part is not kept here goes to the keeping region where that costs less than reading. upstream_health.h: shares of failures, told between the instances of a region while some fail; error answers count in the share alone; an upstream that is full rests for one service time, longer in a row. Attempts without an answer for far longer than expected count as failures when they are given up. A refusal of an instance that took nothing in costs no retry. The first answers of an engine weigh more in what is learnt of its speed.

Ruled out: digests more often (bytes between zones are dear there, and 12 KB/s an instance already).

--- a/include/mimosagauge/impl/decisions/engine_load.h
+++ b/include/mimosagauge/impl/decisions/engine_load.h
@@ -9,6 +9,7 @@
 #define MIMOSAGAUGE_IMPL_DECISIONS_ENGINE_LOAD_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <unordered_map>
 
 #include "mimosagauge/impl/core/ids.h"
@@ -55,7 +56,8 @@
   double untold_tokens = 0;  ///< Own ones since the last digest.
   /// Time taken against time expected, smoothed; above 1 for slow upstreams.
   double slowness = 1;
-  Duration service_time{};  ///< Of a plain service, smoothed; zero: unknown.
+  std::uint32_t lessons = 0;  ///< Answers that `slowness` was learnt from.
+  Duration service_time{};    ///< Of a plain service, smoothed; zero: unknown.
 };
 
 /// \brief A report came with an answer.
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -38,6 +38,7 @@
   Expectation expected;
   double prompt_tokens = 0;  ///< Counted as unread at its upstream.
   bool answered = false;
+  bool error_answer = false;  ///< The answer says that the upstream failed.
 };
 
 /// \brief What a request under an idempotency key has to do with its key.
@@ -107,6 +108,8 @@
   TimePoint next_offers{};  ///< To those of other regions.
   std::vector<PeerState> peers;
   std::unordered_map<RegionId, RegionOffers> offers;  ///< Of other regions.
+  /// Of this region, as other regions are told.
+  std::unordered_map<ServiceId, ServiceOffer> own_offers;
   std::uint64_t store_seen = 0;  ///< Newest change of the store told here.
   /// Since when others have been told more; empty: they have not.
   std::optional<TimePoint> store_behind;
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -47,6 +47,12 @@
 /// The problem's `run` becomes what is known of the request.
 void Refuse(Turn& turn, RequestRecord& record, Problem problem);
 
+/// \returns Whether the other instance is of this one's region.
+[[nodiscard]] inline bool IsNear(const Gateway& gateway,
+                                 const PeerState& peer) {
+  return peer.config.region == gateway.config.region;
+}
+
 /// \returns Whole milliseconds, for entries of the log.
 [[nodiscard]] std::string Milliseconds(Duration duration);
 
@@ -76,6 +82,14 @@
 /// requests that waited for it are answered.
 void SettleKey(Turn& turn, RequestRecord& record);
 
+/// \brief Counts a failure of the upstream, which may eject it.
+void NoteFailure(Turn& turn, const UpstreamId& id, UpstreamFailure failure);
+
+/// \brief Writes down that an upstream gets nothing for a while.
+/// \param told_by The instance whose word was the last one.
+void LogEjection(Turn& turn, const UpstreamState& upstream,
+                 const std::string& told_by);
+
 /// \brief Carries out what the key table says.
 void Apply(Turn& turn, KeyEffects&& effects);
 /// \brief Puts rules into force and tells the other instances.
@@ -129,6 +143,8 @@
 struct RemoteChoice {
   const PeerConfig* peer = nullptr;  ///< Null: none may serve it.
   Expectation expected;
+  double prompt_tokens = 0;  ///< That the region would have to read.
+  bool keeps_part = false;   ///< The prompt's shared part belongs there.
 };
 
 /// \returns Where in other regions a request would be served soonest.
@@ -136,6 +152,13 @@
                                         const RequestRecord& record,
                                         TimePoint now);
 
+/// \returns Another region that keeps the shared part of the prompt, where
+/// going there costs less than reading the part at `local`; else none.
+[[nodiscard]] RemoteChoice ChooseKeeper(Gateway& gateway,
+                                        const RequestRecord& record,
+                                        const UpstreamChoice& local,
+                                        TimePoint now);
+
 /// \brief One overload for each event.
 void Handle(Turn& turn, RequestArrived&& event);
 void Handle(Turn& turn, RequestAbandoned&& event);
--- a/include/mimosagauge/impl/decisions/load_digest.h
+++ b/include/mimosagauge/impl/decisions/load_digest.h
@@ -11,6 +11,7 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/time.h"
 #include "mimosagauge/impl/decisions/request.h"
+#include "mimosagauge/impl/decisions/upstream_health.h"
 
 namespace mimosagauge {
 
@@ -28,6 +29,13 @@
   std::uint32_t sent_tokens = 0;    ///< Given to it since the last digest.
 };
 
+/// \brief How one instance's attempts at one upstream ended, told while some of
+/// them fail.
+struct UpstreamOutcomes {
+  UpstreamMark upstream;
+  UntoldOutcomes outcomes;
+};
+
 /// \brief A prompt part that an engine has been given to read.
 struct PartRead {
   UpstreamMark upstream;
@@ -48,8 +56,9 @@
   std::uint64_t store_seen = 0;
   /// For instances of its region; an upstream that is missing has nothing.
   std::vector<UpstreamShare> shares;
-  std::vector<PartRead> parts;       ///< For instances of its region.
-  std::vector<ServiceOffer> offers;  ///< For those of other regions.
+  std::vector<PartRead> parts;               ///< For instances of its region.
+  std::vector<ServiceOffer> offers;          ///< For those of other regions.
+  std::vector<UpstreamOutcomes> outcomes{};  ///< For those of its region.
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/problems.h
+++ b/include/mimosagauge/impl/decisions/problems.h
@@ -14,6 +14,8 @@
 /// Another instance passed a request on under a configuration that has not
 /// come here yet.
 [[nodiscard]] Problem OlderConfiguration();
+/// \returns Whether an instance that answers so has tried no upstream.
+[[nodiscard]] bool TookNothingIn(const Problem& problem);
 /// No rule or path names a service for the request.
 [[nodiscard]] Problem NoService(const RequestHead& head);
 /// The request must stay in regions that cannot serve it now.
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -15,6 +15,7 @@
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/prefix_cache.h"
 #include "mimosagauge/impl/decisions/request.h"
+#include "mimosagauge/impl/decisions/upstream_health.h"
 
 namespace mimosagauge {
 
@@ -24,9 +25,7 @@
   std::size_t in_flight = 0;  ///< Own attempts running; at most the limit.
   std::size_t limit = 0;      ///< Own attempts it may run at once.
   bool leaving = false;       ///< Gets no new work.
-  std::size_t failures = 0;   ///< In a row.
-  Duration ejection{};        ///< Length of the last ejection, zero: none.
-  TimePoint ejected_until{};  ///< Gets no new work before.
+  UpstreamHealth health;
   UpstreamKind kind = UpstreamKind::kPlain;
   bool evacuated = false;  ///< Its zone is to get nothing.
   ColdStart cold;
@@ -68,6 +67,8 @@
   UpstreamId id;
   Expectation expected;
   double prompt_tokens = 0;  ///< That the upstream has to read.
+  /// It or an engine it may copy from keeps the prompt's shared part.
+  bool keeps_part = false;
   /// Another engine that keeps the prompt's leading part, where this one does
   /// not and a copy is faster than reading.
   std::optional<Endpoint> cache_source{};
@@ -91,6 +92,12 @@
     const UpstreamTable& table, const UpstreamNeed& need, const ZoneId& zone,
     const RegionId& region, TimePoint now);
 
+/// \returns What a choice costs the request and, by what the upstream then
+/// reads, others.
+[[nodiscard]] Duration PlacementCost(const Expectation& expected,
+                                     double prompt_tokens,
+                                     const EngineSpeeds& speeds);
+
 /// \brief What an upstream says of itself, as the platform passes it on.
 struct UpstreamRecord {
   UpstreamConfig config;
@@ -138,13 +145,20 @@
 /// \brief Counts an attempt that starts.
 void BeginWork(UpstreamTable& table, const UpstreamId& id);
 /// \brief Counts an attempt that is over, and that it came to an answer.
-void EndWork(UpstreamTable& table, const UpstreamId& id);
+void EndWork(UpstreamTable& table, const UpstreamId& id, TimePoint now);
 /// \brief Counts an attempt that was given up and says nothing about the
 /// upstream.
 void DropWork(UpstreamTable& table, const UpstreamId& id);
 /// \brief Counts an attempt that failed; may eject the upstream for a while.
 /// \returns Whether the upstream was ejected by it.
-bool FailWork(UpstreamTable& table, const UpstreamId& id, TimePoint now);
+bool FailWork(UpstreamTable& table, const UpstreamId& id,
+              UpstreamFailure failure, TimePoint now);
+/// \brief Counts an attempt that the upstream refused because it is full.
+void RefuseWork(UpstreamTable& table, const UpstreamId& id, TimePoint now);
+/// \brief Another instance told how its attempts ended; may eject the upstream.
+/// \returns Whether the upstream was ejected by it.
+bool LearnOutcomes(UpstreamTable& table, UpstreamState& upstream,
+                   const UntoldOutcomes& told, TimePoint now);
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/wire/load_generated.h
+++ b/include/mimosagauge/impl/wire/load_generated.h
@@ -20,6 +20,8 @@
 
 struct PartRead;
 
+struct UpstreamOutcomes;
+
 struct ServiceOffer;
 struct ServiceOfferBuilder;
 
@@ -110,6 +112,40 @@
   using type = PartRead;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamOutcomes FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint32_t answered_;
+  uint32_t failed_;
+
+ public:
+  struct Traits;
+  UpstreamOutcomes()
+      : upstream_(0),
+        answered_(0),
+        failed_(0) {
+  }
+  UpstreamOutcomes(uint64_t _upstream, uint32_t _answered, uint32_t _failed)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        answered_(flatbuffers::EndianScalar(_answered)),
+        failed_(flatbuffers::EndianScalar(_failed)) {
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t answered() const {
+    return flatbuffers::EndianScalar(answered_);
+  }
+  uint32_t failed() const {
+    return flatbuffers::EndianScalar(failed_);
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamOutcomes, 16);
+
+struct UpstreamOutcomes::Traits {
+  using type = UpstreamOutcomes;
+};
+
 struct ServiceOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceOfferBuilder Builder;
   struct Traits;
@@ -211,7 +247,8 @@
     VT_SHARES = 4,
     VT_PARTS = 6,
     VT_OFFERS = 8,
-    VT_STORE_SEEN = 10
+    VT_STORE_SEEN = 10,
+    VT_OUTCOMES = 12
   };
   const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *shares() const {
     return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *>(VT_SHARES);
@@ -225,6 +262,9 @@
   uint64_t store_seen() const {
     return GetField<uint64_t>(VT_STORE_SEEN, 0);
   }
+  const flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *> *outcomes() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *> *>(VT_OUTCOMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARES) &&
@@ -235,6 +275,8 @@
            verifier.VerifyVector(offers()) &&
            verifier.VerifyVectorOfTables(offers()) &&
            VerifyField<uint64_t>(verifier, VT_STORE_SEEN, 8) &&
+           VerifyOffset(verifier, VT_OUTCOMES) &&
+           verifier.VerifyVector(outcomes()) &&
            verifier.EndTable();
   }
 };
@@ -255,6 +297,9 @@
   void add_store_seen(uint64_t store_seen) {
     fbb_.AddElement<uint64_t>(LoadDigest::VT_STORE_SEEN, store_seen, 0);
   }
+  void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *>> outcomes) {
+    fbb_.AddOffset(LoadDigest::VT_OUTCOMES, outcomes);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -271,9 +316,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *>> shares = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PartRead *>> parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>> offers = 0,
-    uint64_t store_seen = 0) {
+    uint64_t store_seen = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *>> outcomes = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_store_seen(store_seen);
+  builder_.add_outcomes(outcomes);
   builder_.add_offers(offers);
   builder_.add_parts(parts);
   builder_.add_shares(shares);
@@ -290,16 +337,19 @@
     const std::vector<mimosagauge::wire::UpstreamShare> *shares = nullptr,
     const std::vector<mimosagauge::wire::PartRead> *parts = nullptr,
     const std::vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>> *offers = nullptr,
-    uint64_t store_seen = 0) {
+    uint64_t store_seen = 0,
+    const std::vector<mimosagauge::wire::UpstreamOutcomes> *outcomes = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<mimosagauge::wire::UpstreamShare>(*shares) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PartRead>(*parts) : 0;
   auto offers__ = offers ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>(*offers) : 0;
+  auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<mimosagauge::wire::UpstreamOutcomes>(*outcomes) : 0;
   return mimosagauge::wire::CreateLoadDigest(
       _fbb,
       shares__,
       parts__,
       offers__,
-      store_seen);
+      store_seen,
+      outcomes__);
 }
 
 inline const mimosagauge::wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/src/decisions/engine_load.cc
+++ b/src/decisions/engine_load.cc
@@ -12,7 +12,8 @@
 constexpr Duration kReportLife = std::chrono::seconds(2);
 // Over which the part of time that goes into reading is smoothed.
 constexpr Duration kReadingWindow = std::chrono::milliseconds(1500);
-// Weight of one observation in a smoothed value.
+// Least weight of one observation in a smoothed value; the first ones weigh
+// more, so that a slow upstream is known after a few answers.
 constexpr double kSmoothing = 0.1;
 constexpr double kLeastSlowness = 0.25;
 constexpr double kMostSlowness = 8;
@@ -113,7 +114,10 @@
   }
   const double seen = std::clamp(load.slowness * Ratio(taken, expected),
                                  kLeastSlowness, kMostSlowness);
-  load.slowness += kSmoothing * (seen - load.slowness);
+  ++load.lessons;
+  // What was assumed before counts as one observation.
+  const double weight = std::max(kSmoothing, 1.0 / (load.lessons + 1));
+  load.slowness += weight * (seen - load.slowness);
 }
 
 void LearnService(EngineLoad& load, Duration taken) {
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -2,6 +2,8 @@
 
 #include "mimosagauge/impl/decisions/gateway.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -228,12 +230,24 @@
   return revisions;
 }
 
+// An answer that has not begun by now does not come late, it does not come: an
+// upstream is to blame that lets several of them go by.
+constexpr Duration kLongSilence = std::chrono::milliseconds(2500);
+constexpr int kFarBeyondExpected = 4;
+
+[[nodiscard]] bool IsOverdue(const Attempt& attempt, TimePoint now) {
+  return !attempt.answered &&
+         now - attempt.started >=
+             std::max(kLongSilence,
+                      attempt.expected.start * kFarBeyondExpected);
+}
+
 [[nodiscard]] std::string_view StateName(const UpstreamState& upstream,
                                          TimePoint now) {
   if (upstream.leaving) {
     return "leaving";
   }
-  return upstream.ejected_until > now ? "ejected" : "live";
+  return upstream.health.ejected_until > now ? "ejected" : "live";
 }
 
 }  // namespace
@@ -466,18 +480,44 @@
   turn.effects.emplace_back(std::move(log));
 }
 
+void NoteFailure(Turn& turn, const UpstreamId& id, UpstreamFailure failure) {
+  Gateway& gateway = turn.gateway;
+  if (FailWork(gateway.upstreams, id, failure, turn.now)) {
+    LogEjection(turn, *FindUpstream(gateway.upstreams, id),
+                gateway.config.instance.value());
+  }
+}
+
+void LogEjection(Turn& turn, const UpstreamState& upstream,
+                 const std::string& told_by) {
+  const UpstreamHealth& health = upstream.health;
+  turn.effects.emplace_back(
+      WriteLog{log_events::kUpstreamEjected,
+               {{"upstream", upstream.config.id.value()},
+                {"for_ms", Milliseconds(health.ejection)},
+                {"in_a_row", std::to_string(health.failures)},
+                {"failed", fmt::format("{:.1f}", health.failed)},
+                {"answered", fmt::format("{:.1f}", health.answered)},
+                {"told_by", told_by}}});
+}
+
 void CancelRunning(Turn& turn, RequestRecord& record) {
   if (!record.running) {
     return;
   }
   Attempt attempt = *record.running;
+  const bool overdue = IsOverdue(attempt, turn.now);
   NoteBegun(turn, attempt, false);
   record.running.reset();
   turn.gateway.attempts.erase(attempt.number);
   // It may have been given to an upstream already.
   Learn(record.outcome, RunState::kUnknown);
   if (const auto* upstream = std::get_if<UpstreamId>(&attempt.target)) {
-    DropWork(turn.gateway.upstreams, *upstream);
+    if (overdue) {
+      NoteFailure(turn, *upstream, UpstreamFailure::kNoAnswer);
+    } else {
+      DropWork(turn.gateway.upstreams, *upstream);
+    }
     NoteFreed(turn.gateway, *upstream);
     turn.effects.emplace_back(ForUpstreams{CancelAttempt{attempt.number}});
   } else {
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -60,13 +60,6 @@
   }
 }
 
-void NoteFailure(Turn& turn, const UpstreamId& id) {
-  if (FailWork(turn.gateway.upstreams, id, turn.now)) {
-    turn.effects.emplace_back(
-        WriteLog{log_events::kUpstreamEjected, {{"upstream", id.value()}}});
-  }
-}
-
 [[nodiscard]] bool HasTimeAndAttempts(const Turn& turn,
                                       const RequestRecord& record) {
   const std::size_t allowed = record.verdict.attempts;
@@ -78,11 +71,18 @@
          record.due > turn.now;
 }
 
+// The upstream said that it is full; nothing is wrong with it.
+[[nodiscard]] bool IsFull(const AttemptFailed& event) {
+  return event.run == RunState::kNotRun &&
+         event.error.kind == ErrorKind::kOverloaded;
+}
+
 // Whether the upstream was given the request, also if it refused it.
 [[nodiscard]] bool Arrived(const AttemptFailed& event) {
-  // Another instance that answers with a problem has tried its upstreams.
-  return event.run != RunState::kNotRun || event.misdirected ||
-         event.problem.has_value() ||
+  // Another instance that answers with a problem has tried its upstreams,
+  // unless it says that it took nothing in.
+  const bool tried = event.problem && !TookNothingIn(*event.problem);
+  return event.run != RunState::kNotRun || event.misdirected || tried ||
          event.error.kind == ErrorKind::kOverloaded;
 }
 
@@ -202,8 +202,9 @@
   }
   const AttemptNumber number = record.running->number;
   turn.effects.emplace_back(ForUpstreams{CancelAttempt{number}});
-  FinishAttempt(turn, record,
-                [&](const UpstreamId& id) { NoteFailure(turn, id); });
+  FinishAttempt(turn, record, [&](const UpstreamId& id) {
+    NoteFailure(turn, id, UpstreamFailure::kErrorAnswer);
+  });
   record.last_failure = "the upstream answered that it is unavailable";
   Place(turn, record.arrival.number);
   return true;
@@ -241,6 +242,7 @@
     return;
   }
   Learn(record->outcome, RunState::kRan);
+  record->running->error_answer = event.head.status >= kServerError;
   LearnFromAnswer(turn, *record, event.load);
   if (record->outcome.phase == AnswerPhase::kAnswering) {
     const bool continued = record->resuming && event.head.status == kOk &&
@@ -284,8 +286,12 @@
     return;
   }
   const Duration taken = turn.now - record->running->started;
+  const bool error_answer = record->running->error_answer;
   FinishAttempt(turn, *record, [&](const UpstreamId& id) {
-    EndWork(turn.gateway.upstreams, id);
+    if (error_answer) {
+      return NoteFailure(turn, id, UpstreamFailure::kErrorAnswer);
+    }
+    EndWork(turn.gateway.upstreams, id, turn.now);
     UpstreamState* upstream = FindUpstream(turn.gateway.upstreams, id);
     if (upstream != nullptr && upstream->kind == UpstreamKind::kPlain) {
       LearnService(upstream->load, taken);
@@ -338,7 +344,11 @@
   record->last_failure = event.error.message;
   CountRun(*record, event.run);
   FinishAttempt(turn, *record, [&](const UpstreamId& id) {
-    NoteFailure(turn, id);
+    if (IsFull(event)) {
+      RefuseWork(turn.gateway.upstreams, id, turn.now);
+    } else {
+      NoteFailure(turn, id, UpstreamFailure::kNoAnswer);
+    }
     if (event.misdirected) {
       Handle(turn, UpstreamRemoved{id});
     }
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -1,7 +1,6 @@
-// What instances tell each other of their load, and the choice of a region.
+// What instances tell each other of their load.
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "mimosagauge/impl/decisions/gateway_detail.h"
@@ -18,28 +17,15 @@
 // Instances of this region that tell one of another region; two, so that one
 // may be lost.
 constexpr std::size_t kTellers = 2;
-// An offer says nothing after this long.
-constexpr Duration kOfferLife = std::chrono::seconds(2);
 // A change of the store reaches all instances within this, unless a watch has
 // gone silent.
 constexpr Duration kStoreLag = std::chrono::milliseconds(1500);
-// There and back between regions, with what the other instance adds.
-constexpr Duration kHop = std::chrono::milliseconds(130);
-// An instance that has told nothing yet is taken for this busy.
-constexpr Duration kUntoldStart = std::chrono::milliseconds(300);
-// Choices this close to the best are left to chance, so that instances do not
-// all choose the same one.
-constexpr Duration kNearlyBest = std::chrono::milliseconds(20);
-
-[[nodiscard]] bool IsNear(const Gateway& gateway, const PeerState& peer) {
-  return peer.config.region == gateway.config.region;
-}
 
 [[nodiscard]] std::uint32_t Whole(double number) {
   return static_cast<std::uint32_t>(std::max(0.0, number));
 }
 
-[[nodiscard]] LoadDigest NearDigest(Gateway& gateway) {
+[[nodiscard]] LoadDigest NearDigest(Gateway& gateway, TimePoint now) {
   LoadDigest digest;
   digest.store_seen = gateway.store_seen;
   for (UpstreamState& upstream : gateway.upstreams.upstreams) {
@@ -50,15 +36,19 @@
                                static_cast<std::uint32_t>(upstream.in_flight),
                                Whole(load.unread_tokens), Whole(sent)});
     }
+    const UntoldOutcomes outcomes = TakeUntold(upstream.health, now);
+    if (outcomes.failed > 0) {
+      digest.outcomes.push_back({MarkOf(upstream.config.id), outcomes});
+    }
   }
   digest.parts = std::exchange(gateway.parts_read, {});
   return digest;
 }
 
-[[nodiscard]] LoadDigest FarDigest(const Gateway& gateway, TimePoint now) {
+[[nodiscard]] LoadDigest FarDigest(const Gateway& gateway) {
   LoadDigest digest;
-  for (const auto& [service, upstreams] : gateway.upstreams.services) {
-    digest.offers.push_back(OfferOf(gateway.upstreams, service, now));
+  for (const auto& [service, offer] : gateway.own_offers) {
+    digest.offers.push_back(offer);
   }
   return digest;
 }
@@ -80,7 +70,8 @@
 
 void TellNear(Turn& turn) {
   Gateway& gateway = turn.gateway;
-  const auto digest = std::make_shared<const LoadDigest>(NearDigest(gateway));
+  const auto digest =
+      std::make_shared<const LoadDigest>(NearDigest(gateway, turn.now));
   std::size_t told = 0;
   for (const PeerState& peer : gateway.peers) {
     if (peer.up && IsNear(gateway, peer)) {
@@ -97,73 +88,27 @@
 void TellFar(Turn& turn) {
   Gateway& gateway = turn.gateway;
   gateway.next_offers = turn.now + kOffersInterval;
+  gateway.own_offers.clear();
+  for (const auto& [service, upstreams] : gateway.upstreams.services) {
+    gateway.own_offers.emplace(service,
+                               OfferOf(gateway.upstreams, service, turn.now));
+  }
   std::shared_ptr<const LoadDigest> digest;
   for (const PeerState& peer : gateway.peers) {
     if (!peer.up || IsNear(gateway, peer) || !Tells(gateway, peer)) {
       continue;
     }
     if (digest == nullptr) {
-      digest = std::make_shared<const LoadDigest>(FarDigest(gateway, turn.now));
+      digest = std::make_shared<const LoadDigest>(FarDigest(gateway));
     }
     turn.effects.emplace_back(ForLinks{SendLoad{peer.config.id, digest}});
   }
 }
 
-[[nodiscard]] const RegionOffers* FreshOffers(const Gateway& gateway,
-                                              const RegionId& region,
-                                              TimePoint now) {
-  const auto found = gateway.offers.find(region);
-  const bool fresh = found != gateway.offers.end() &&
-                     now - found->second.told_at <= kOfferLife;
-  return fresh ? &found->second : nullptr;
-}
-
-// What a request would find at another region's instance.
-[[nodiscard]] Expectation ExpectAt(const Gateway& gateway,
-                                   const PeerState& peer,
-                                   const RequestRecord& record, TimePoint now) {
-  Expectation expected;
-  expected.start = kHop + kUntoldStart;
-  if (const RegionOffers* told =
-          FreshOffers(gateway, peer.config.region, now)) {
-    const auto offer = told->services.find(record.verdict.service);
-    if (offer != told->services.end()) {
-      expected.start = kHop + offer->second.start;
-      expected.reading = offer->second.reading;
-    }
-  }
-  const Prompt& prompt = record.arrival.head->prompt;
-  LoadQuestion question;
-  question.engine = prompt.tokens_in > 0;
-  question.prompt_tokens = prompt.tokens_in;
-  question.output_tokens = prompt.tokens_out;
-  question.slots = 1;
-  if (!question.engine) {
-    expected.end = expected.start;
-    return expected;
-  }
-  // As at an upstream of here that has as much to read.
-  const EngineLoad empty;
-  const Expectation alone =
-      Expect(empty, question, gateway.upstreams.speeds, now);
-  expected.start += alone.start;
-  expected.end = expected.start + (alone.end - alone.start);
-  return expected;
-}
-
-[[nodiscard]] bool Serves(const Gateway& gateway, const RegionId& region,
-                          const ServiceId& service, TimePoint now) {
-  const RegionOffers* told = FreshOffers(gateway, region, now);
-  if (told == nullptr) {
-    return true;  // Nothing is known against it.
-  }
-  const auto offer = told->services.find(service);
-  return offer != told->services.end() && offer->second.usable > 0;
-}
-
 // The peer's part of what its region's upstreams have.
-void LearnShares(Gateway& gateway, const InstanceId& from,
-                 const LoadDigest& digest, TimePoint now) {
+void LearnShares(Turn& turn, const InstanceId& from, const LoadDigest& digest) {
+  Gateway& gateway = turn.gateway;
+  const TimePoint now = turn.now;
   for (UpstreamState& upstream : gateway.upstreams.upstreams) {
     upstream.load.foreign.erase(from);
   }
@@ -176,6 +121,13 @@
           share.sent_tokens, now);
     }
   }
+  for (const UpstreamOutcomes& told : digest.outcomes) {
+    UpstreamState* upstream = FindUpstream(gateway.upstreams, told.upstream);
+    if (upstream != nullptr &&
+        LearnOutcomes(gateway.upstreams, *upstream, told.outcomes, now)) {
+      LogEjection(turn, *upstream, from.value());
+    }
+  }
   for (const PartRead& read : digest.parts) {
     UpstreamState* upstream = FindUpstream(gateway.upstreams, read.upstream);
     if (upstream != nullptr) {
@@ -230,7 +182,7 @@
     return;  // It comes with the next one, once the instance is known.
   }
   if (IsNear(gateway, *peer)) {
-    LearnShares(gateway, event.from, event.digest, turn.now);
+    LearnShares(turn, event.from, event.digest);
     CompareStore(turn, event.digest.store_seen);
     return;
   }
@@ -242,28 +194,4 @@
   }
 }
 
-RemoteChoice ChooseRemote(Gateway& gateway, const RequestRecord& record,
-                          TimePoint now) {
-  std::vector<RemoteChoice> candidates;
-  Duration best = Duration::max();
-  for (const PeerState& peer : gateway.peers) {
-    const bool may =
-        !IsNear(gateway, peer) && peer.up && MayGoTo(record, peer.config) &&
-        Serves(gateway, peer.config.region, record.verdict.service, now);
-    if (may) {
-      candidates.push_back(
-          {&peer.config, ExpectAt(gateway, peer, record, now)});
-      best = std::min(best, candidates.back().expected.start);
-    }
-  }
-  std::erase_if(candidates, [best](const RemoteChoice& choice) {
-    return choice.expected.start > best + kNearlyBest;
-  });
-  if (candidates.empty()) {
-    return {};
-  }
-  std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
-  return candidates[pick(gateway.random)];
-}
-
 }  // namespace mimosagauge::detail
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -175,9 +175,9 @@
 // is free is soon enough.
 [[nodiscard]] bool IsSoonEnough(const Gateway& gateway,
                                 const RequestRecord& record,
-                                const UpstreamChoice& choice) {
+                                const Expectation& expected) {
   return gateway.catalogue == nullptr ||
-         choice.expected.start <= Part(record.verdict.objective, kSoonEnough);
+         expected.start <= Part(record.verdict.objective, kSoonEnough);
 }
 
 }  // namespace
@@ -234,8 +234,12 @@
     local = ChooseUpstream(gateway.upstreams, WeighedNeedOf(gateway, record),
                            gateway.config.zone, region, turn.now);
   }
-  if (local && IsSoonEnough(gateway, record, *local)) {
-    return StartOnUpstream(turn, record, *local);
+  if (local && IsSoonEnough(gateway, record, local->expected)) {
+    const RemoteChoice keeper = ChooseKeeper(gateway, record, *local, turn.now);
+    return keeper.peer != nullptr &&
+                   IsSoonEnough(gateway, record, keeper.expected)
+               ? StartOnInstance(turn, record, *keeper.peer)
+               : StartOnUpstream(turn, record, *local);
   }
   // The product's own rules do not say what waiting costs, so a request leaves
   // its region only when nothing there can serve it.
--- /dev/null
+++ b/src/decisions/part_home.cc
@@ -0,0 +1,43 @@
+// Weighted rendezvous hashing of prompt parts over regions.
+
+#include "mimosagauge/impl/decisions/part_home.h"
+
+#include <cmath>
+#include <limits>
+
+#include "mimosagauge/impl/decisions/rendezvous.h"
+
+namespace mimosagauge {
+namespace {
+
+// -capacity / ln(u) with u uniform in (0, 1): the largest of these belongs to a
+// region with a probability in proportion to its capacity.
+[[nodiscard]] double Score(std::uint64_t part, const RegionCapacity& region) {
+  constexpr double kHashes = 18446744073709551616.0;  // 2^64.
+  const std::uint64_t hash = RendezvousWeight(part, region.region.value());
+  const double uniform = (static_cast<double>(hash) + 0.5) / kHashes;
+  const double below_one =
+      std::fmin(uniform, 1 - std::numeric_limits<double>::epsilon());
+  return -region.capacity / std::log(below_one);
+}
+
+}  // namespace
+
+RegionId KeepingRegion(std::uint64_t part,
+                       std::span<const RegionCapacity> regions) {
+  const RegionCapacity* best = nullptr;
+  double best_score = 0;
+  for (const RegionCapacity& region : regions) {
+    if (region.capacity <= 0) {
+      continue;
+    }
+    const double score = Score(part, region);
+    if (best == nullptr || score > best_score) {
+      best = &region;
+      best_score = score;
+    }
+  }
+  return best == nullptr ? RegionId{} : best->region;
+}
+
+}  // namespace mimosagauge
--- a/src/decisions/problems.cc
+++ b/src/decisions/problems.cc
@@ -69,6 +69,14 @@
               RunState::kNotRun);
 }
 
+bool TookNothingIn(const Problem& problem) {
+  constexpr std::array<std::string_view, 4> kBeforeTaking{
+      "not-ready", "older-configuration", "path-refused", "stopping"};
+  return problem.run == RunState::kNotRun &&
+         std::find(kBeforeTaking.begin(), kBeforeTaking.end(), problem.type) !=
+             kBeforeTaking.end();
+}
+
 Duration RetryAfter(Duration left) {
   return std::clamp(left / kRetryPart, kRetrySoonest, kRetrySoon);
 }
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -10,10 +10,6 @@
 namespace mimosagauge {
 namespace {
 
-constexpr std::size_t kFailuresBeforeEjection = 3;
-constexpr Duration kFirstEjection = std::chrono::seconds(1);
-constexpr Duration kLongestEjection = std::chrono::seconds(30);
-
 // Calls `visit` with each upstream that offers the service and model, until
 // it returns true.
 // \returns Whether it did.
@@ -56,7 +52,7 @@
 [[nodiscard]] bool Usable(const UpstreamState& upstream,
                           const UpstreamNeed& need, const RegionId& region,
                           TimePoint now) {
-  return upstream.ejected_until <= now && MayGetRequest(upstream.cold, now) &&
+  return MayWork(upstream.health, now) && MayGetRequest(upstream.cold, now) &&
          Suits(upstream, need, region);
 }
 
@@ -78,7 +74,7 @@
 // Whether it serves requests of any kind; what it must offer is not looked at.
 [[nodiscard]] bool Serves(const UpstreamState& upstream, TimePoint now) {
   return !upstream.leaving && !upstream.evacuated &&
-         upstream.ejected_until <= now && !IsCold(upstream.cold, now);
+         MayWork(upstream.health, now) && !IsCold(upstream.cold, now);
 }
 
 // One of the usable upstreams and how it compares.
@@ -108,6 +104,11 @@
   return unread - kPreferredDiscount * std::min<double>(leading->tokens, whole);
 }
 
+[[nodiscard]] bool Keeps(const UpstreamState& upstream, const Prompt& prompt) {
+  const PromptPart* part = LeadingPart(prompt);
+  return part != nullptr && upstream.cache.index.count(part->id) != 0;
+}
+
 [[nodiscard]] LoadQuestion QuestionFor(const UpstreamState& upstream) {
   LoadQuestion question;
   question.engine = upstream.kind == UpstreamKind::kEngine;
@@ -124,8 +125,7 @@
   const UpstreamState* keeper = nullptr;
   if (part != nullptr) {
     AnyOffering(table, need, [&](const UpstreamState& upstream) {
-      const bool keeps =
-          Serves(upstream, now) && upstream.cache.index.count(part->id) != 0;
+      const bool keeps = Serves(upstream, now) && Keeps(upstream, *need.prompt);
       keeper = keeps ? &upstream : nullptr;
       return keeps;
     });
@@ -155,8 +155,7 @@
     question.prompt_tokens = ExpectedTokens(upstream, *need.prompt, preferred);
     question.output_tokens = need.prompt->tokens_out;
     const PromptPart* part = LeadingPart(*need.prompt);
-    const bool missing =
-        part != nullptr && upstream.cache.index.count(part->id) == 0;
+    const bool missing = part != nullptr && !Keeps(upstream, *need.prompt);
     if (missing && keeper != nullptr && keeper != &upstream) {
       if (const auto copy = CopyInTokens(table, upstream, *part)) {
         question.prompt_tokens =
@@ -169,8 +168,7 @@
   candidate.prompt_tokens = question.prompt_tokens;
   candidate.expected = Expect(upstream.load, question, table.speeds, now);
   candidate.cost =
-      candidate.expected.start +
-      ReadingTime(question.prompt_tokens * kReadingCost, table.speeds);
+      PlacementCost(candidate.expected, question.prompt_tokens, table.speeds);
   return candidate;
 }
 
@@ -240,11 +238,21 @@
   for (const std::size_t position :
        table.services.at(candidate.config.service).all) {
     ++all;
-    ejected += table.upstreams[position].ejected_until > now ? 1 : 0;
+    ejected += table.upstreams[position].health.ejected_until > now ? 1 : 0;
   }
   return (ejected + 1) * 2 <= all;
 }
 
+bool EjectIfDeserved(const UpstreamTable& table, UpstreamState& upstream,
+                     TimePoint now) {
+  if (!DeservesEjection(upstream.health, now) ||
+      !MayEject(table, upstream, now)) {
+    return false;
+  }
+  Eject(upstream.health, now);
+  return true;
+}
+
 }  // namespace
 
 UpstreamTable MakeUpstreamTable(const std::vector<UpstreamConfig>& configs) {
@@ -295,14 +303,24 @@
       best = candidate;
     }
   }
-  UpstreamChoice choice{best->upstream->config.id, best->expected,
-                        best->prompt_tokens};
+  UpstreamChoice choice;
+  choice.id = best->upstream->config.id;
+  choice.expected = best->expected;
+  choice.prompt_tokens = best->prompt_tokens;
+  choice.keeps_part =
+      best->keeper != nullptr ||
+      (need.prompt != nullptr && Keeps(*best->upstream, *need.prompt));
   if (best->keeper != nullptr) {
     choice.cache_source = best->keeper->config.endpoint;
   }
   return choice;
 }
 
+Duration PlacementCost(const Expectation& expected, double prompt_tokens,
+                       const EngineSpeeds& speeds) {
+  return expected.start + ReadingTime(prompt_tokens * kReadingCost, speeds);
+}
+
 void LearnUpstream(UpstreamTable& table, const UpstreamRecord& record,
                    const UpstreamTerms& terms, TimePoint now) {
   UpstreamState* known = FindUpstream(table, record.config.id);
@@ -317,9 +335,7 @@
       known->config.endpoint != record.config.endpoint;
   if (restarted) {
     known->leaving = false;
-    known->failures = 0;
-    known->ejected_until = TimePoint{};
-    known->ejection = Duration::zero();
+    known->health = UpstreamHealth{};
     known->load = EngineLoad{};
     Clear(known->cache);
   }
@@ -400,14 +416,13 @@
   }
 }
 
-void EndWork(UpstreamTable& table, const UpstreamId& id) {
+void EndWork(UpstreamTable& table, const UpstreamId& id, TimePoint now) {
   UpstreamState* upstream = FindUpstream(table, id);
   if (upstream == nullptr) {
     return;
   }
   Decrement(upstream->in_flight);
-  upstream->failures = 0;
-  upstream->ejection = Duration::zero();
+  CountAnswer(upstream->health, now);
 }
 
 void DropWork(UpstreamTable& table, const UpstreamId& id) {
@@ -416,21 +431,28 @@
   }
 }
 
-bool FailWork(UpstreamTable& table, const UpstreamId& id, TimePoint now) {
+bool FailWork(UpstreamTable& table, const UpstreamId& id,
+              UpstreamFailure failure, TimePoint now) {
   UpstreamState* upstream = FindUpstream(table, id);
   if (upstream == nullptr) {
     return false;
   }
   Decrement(upstream->in_flight);
-  ++upstream->failures;
-  if (upstream->failures < kFailuresBeforeEjection ||
-      upstream->ejected_until > now || !MayEject(table, *upstream, now)) {
-    return false;
+  CountFailure(upstream->health, failure, now);
+  return EjectIfDeserved(table, *upstream, now);
+}
+
+void RefuseWork(UpstreamTable& table, const UpstreamId& id, TimePoint now) {
+  if (UpstreamState* upstream = FindUpstream(table, id)) {
+    Decrement(upstream->in_flight);
+    Rest(upstream->health, upstream->load.service_time, now);
   }
-  upstream->ejection =
-      std::clamp(upstream->ejection * 2, kFirstEjection, kLongestEjection);
-  upstream->ejected_until = now + upstream->ejection;
-  return true;
+}
+
+bool LearnOutcomes(UpstreamTable& table, UpstreamState& upstream,
+                   const UntoldOutcomes& told, TimePoint now) {
+  CountToldOutcomes(upstream.health, told, now);
+  return EjectIfDeserved(table, upstream, now);
 }
 
 }  // namespace mimosagauge
--- a/src/wire/load_codec.cc
+++ b/src/wire/load_codec.cc
@@ -39,6 +39,11 @@
   for (const PartRead& read : digest.parts) {
     parts.emplace_back(read.upstream.value(), read.part.id, read.part.tokens);
   }
+  std::vector<wire::UpstreamOutcomes> outcomes;
+  for (const UpstreamOutcomes& told : digest.outcomes) {
+    outcomes.emplace_back(told.upstream.value(), told.outcomes.answered,
+                          told.outcomes.failed);
+  }
   std::vector<Offset<wire::ServiceOffer>> offers;
   for (const ServiceOffer& offer : digest.offers) {
     const auto service = builder.CreateString(offer.service.value());
@@ -50,6 +55,7 @@
   // Empty lists take no bytes.
   using Shares = Offset<flatbuffers::Vector<const wire::UpstreamShare*>>;
   using Parts = Offset<flatbuffers::Vector<const wire::PartRead*>>;
+  using Outcomes = Offset<flatbuffers::Vector<const wire::UpstreamOutcomes*>>;
   using Offers = Offset<flatbuffers::Vector<Offset<wire::ServiceOffer>>>;
   const Shares share_list =
       shares.empty() ? Shares() : builder.CreateVectorOfStructs(shares);
@@ -57,8 +63,11 @@
       parts.empty() ? Parts() : builder.CreateVectorOfStructs(parts);
   const Offers offer_list =
       offers.empty() ? Offers() : builder.CreateVector(offers);
+  const Outcomes outcome_list =
+      outcomes.empty() ? Outcomes() : builder.CreateVectorOfStructs(outcomes);
   builder.Finish(wire::CreateLoadDigest(builder, share_list, part_list,
-                                        offer_list, digest.store_seen));
+                                        offer_list, digest.store_seen,
+                                        outcome_list));
   std::string bytes(kTagBytes, kLoadDigestTag);
   for (std::size_t i = 0; i < builder.GetSize(); ++i) {
     bytes += static_cast<char>(builder.GetBufferPointer()[i]);
@@ -96,6 +105,12 @@
           {UpstreamMark{read->upstream()}, {read->id(), read->tokens()}});
     }
   }
+  if (table.outcomes() != nullptr) {
+    for (const wire::UpstreamOutcomes* told : *table.outcomes()) {
+      digest.outcomes.push_back(
+          {UpstreamMark{told->upstream()}, {told->answered(), told->failed()}});
+    }
+  }
   if (table.offers() != nullptr) {
     for (const wire::ServiceOffer* offer : *table.offers()) {
       digest.offers.push_back({ServiceId{offer->service()->str()},
--- a/tests/unit/fleet_gateway_test.cc
+++ b/tests/unit/fleet_gateway_test.cc
@@ -4,8 +4,11 @@
 #include "tests/support/fleet_gateway.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 
+#include "mimosagauge/impl/decisions/problems.h"
+
 namespace mimosagauge {
 namespace {
 
@@ -206,6 +209,103 @@
   }
 }
 
+// Many parts, each asked for now and then from every region.
+TEST_CASE("a shared part is read in one region, unless another is far behind") {
+  struct Case {
+    const char* what;
+    std::uint32_t here;  // Engines; those of the other region: 8.
+    Duration start_there;
+    bool one_is_passed_on;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"both are idle", 8, milliseconds(20), true},
+      {"the other one is somewhat busy", 8, milliseconds(400), true},
+      {"the other one would answer too late", 8, milliseconds(900), false},
+  }));
+  CAPTURE(one.what);
+  FleetGateway world;
+  for (std::uint32_t i = 0; i < one.here; ++i) {
+    world.Upstream("engine-" + std::to_string(i), "engines");
+  }
+  world.Instance("mombasa-1", "mombasa");
+  world.Pass(seconds(1));  // What this region offers is known from now on.
+  LoadDigest digest;
+  digest.offers = {{ServiceId{"engines"}, 8, one.start_there, 0.1}};
+  world.Give(LoadTold{InstanceId{"mombasa-1"}, digest});
+  std::size_t passed_on = 0;
+  for (std::uint64_t part = 1; part <= 20; ++part) {
+    FleetRequest request = Review();
+    request.prompt.parts[0].id = part;
+    const auto effects = world.Request(request).second;
+    passed_on += Find<StartLinkAttempt>(effects) ? 1 : 0;
+    // What came from there is served here, whoever keeps the part.
+    request.origin = Origin::kLink;
+    CHECK(Find<StartUpstreamAttempt>(world.Request(request).second));
+  }
+  CHECK((passed_on > 0) == one.one_is_passed_on);
+  CHECK(passed_on < 20);
+}
+
+TEST_CASE("a full upstream is left alone for a moment and not ejected") {
+  FleetGateway world;
+  world.Upstream("desk-1", "desk");
+  for (int i = 0; i < 5; ++i) {
+    const auto start =
+        Find<StartUpstreamAttempt>(world.Request(To("/deposit/1")).second);
+    REQUIRE(start);
+    world.Fail(start->attempt, RunState::kNotRun, ErrorKind::kOverloaded);
+    CHECK_FALSE(
+        Find<StartUpstreamAttempt>(world.Request(To("/deposit/1")).second));
+    world.Pass(seconds(2));
+  }
+}
+
+TEST_CASE("errors that callers get as they are count against their upstream") {
+  FleetGateway world;
+  world.Upstream("desk-1", "desk");
+  world.Upstream("desk-2", "desk");
+  std::optional<WriteLog> ejected;
+  for (int i = 0; i < 12 && !ejected; ++i) {
+    const auto start =
+        Find<StartUpstreamAttempt>(world.Request(To("/deposit/1")).second);
+    REQUIRE(start);
+    const bool grey = start->upstream == UpstreamId{"desk-1"};
+    const auto effects = world.Answer(start->attempt, grey ? 500 : 200);
+    if (const auto log = Find<WriteLog>(effects);
+        log && log->event.number == log_events::kUpstreamEjected.number) {
+      ejected = log;
+    }
+  }
+  REQUIRE(ejected);
+  CHECK(ejected->fields.front().second == "desk-1");
+}
+
+TEST_CASE("another instance that took nothing in costs no retry") {
+  struct Case {
+    Problem problem;
+    bool costs;
+  };
+  const Case one =
+      GENERATE(values<Case>({{OlderConfiguration(), false},
+                             {NotReady(), false},
+                             {Stopping(RunState::kNotRun), false},
+                             {Overloaded(RunState::kNotRun), true}}));
+  CAPTURE(one.problem.type);
+  FleetGateway world;
+  world.Instance("mombasa-1", "mombasa");
+  const auto start =
+      Find<StartLinkAttempt>(world.Request(To("/status/1")).second);
+  REQUIRE(start);
+  world.Upstream("desk-1", "desk");
+  const double before = world.gateway().budgets.at(ServiceId{"desk"}).tokens;
+  world.Give(AttemptFailed{start->attempt,
+                           RunState::kNotRun,
+                           {ErrorKind::kUnavailable, "refused", ""},
+                           one.problem});
+  const double after = world.gateway().budgets.at(ServiceId{"desk"}).tokens;
+  CHECK((after < before) == one.costs);
+}
+
 TEST_CASE("a region that has nothing usable is offered nothing") {
   FleetGateway world;
   world.Instance("mombasa-1", "mombasa");
@@ -312,8 +412,7 @@
     }
     // Failures in a row eject; that is not what is looked at here.
     for (UpstreamState& upstream : world.gateway().upstreams.upstreams) {
-      upstream.ejected_until = TimePoint{};
-      upstream.failures = 0;
+      upstream.health = UpstreamHealth{};
     }
   }
   const double allowed =
--- /dev/null
+++ b/tests/unit/upstream_health_test.cc
@@ -0,0 +1,126 @@
+// What answers show of an upstream, by the pattern of its failures.
+
+#include "mimosagauge/impl/decisions/upstream_health.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace mimosagauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+constexpr Duration kBetween = milliseconds(50);
+
+// Plays outcomes at 20 a second: `.` an answer, `e` an error answer, `x` none.
+[[nodiscard]] bool EjectedBy(const std::string& outcomes) {
+  UpstreamHealth health;
+  TimePoint now = kStart;
+  for (const char outcome : outcomes) {
+    now += kBetween;
+    if (outcome == '.') {
+      CountAnswer(health, now);
+      continue;
+    }
+    CountFailure(health,
+                 outcome == 'e' ? UpstreamFailure::kErrorAnswer
+                                : UpstreamFailure::kNoAnswer,
+                 now);
+    if (DeservesEjection(health, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST_CASE("an upstream that fails too large a share is ejected") {
+  struct Case {
+    const char* pattern;
+    std::string outcomes;
+    bool ejected;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"sound", "..............................", false},
+      {"crashed", ".......xxx", true},
+      {"fails two of five, its health check is good", "x..x.x..x.x..x.x..x.",
+       true},
+      {"the same with answers that say so", "e..e.e..e.e..e.e..e.", true},
+      {"loses one answer of forty",
+       "..............x.......................................x........",
+       false},
+      {"one request of seven is wrong in itself",
+       ".e......e.....e.......e.....e......e......e.....e......e.....", false},
+      {"three wrong requests in a row", "..........eee..........", false},
+  }));
+  CAPTURE(one.pattern);
+  CHECK(EjectedBy(one.outcomes) == one.ejected);
+}
+
+// One instance of 24 sees too few requests of an engine to know.
+TEST_CASE("instances know together that an upstream fails a share") {
+  const int instances = GENERATE(1, 24);
+  UpstreamHealth here;
+  for (int i = 0; i < instances; ++i) {
+    UpstreamHealth there;
+    CountAnswer(there, kStart);
+    CountFailure(there, UpstreamFailure::kErrorAnswer, kStart);
+    CountToldOutcomes(here, TakeUntold(there, kStart), kStart);
+  }
+  CHECK(DeservesEjection(here, kStart) == (instances == 24));
+}
+
+TEST_CASE("outcomes are told once, and only while some fail") {
+  UpstreamHealth health;
+  CountAnswer(health, kStart);
+  CHECK(TakeUntold(health, kStart).failed == 0);
+  CountFailure(health, UpstreamFailure::kNoAnswer, kStart);
+  const UntoldOutcomes told = TakeUntold(health, kStart);
+  CHECK(told.failed == 1);
+  CHECK(told.answered == 1);
+  CHECK(TakeUntold(health, kStart).failed == 0);
+}
+
+TEST_CASE("ejections grow and one good answer does not end them") {
+  UpstreamHealth health;
+  TimePoint now = kStart;
+  Duration last{};
+  for (int round = 0; round < 3; ++round) {
+    for (int i = 0; i < 6; ++i) {
+      CountFailure(health, UpstreamFailure::kErrorAnswer, now);
+    }
+    REQUIRE(DeservesEjection(health, now));
+    Eject(health, now);
+    CHECK(health.ejection > last);
+    CHECK_FALSE(MayWork(health, now));
+    CHECK_FALSE(DeservesEjection(health, now));
+    last = health.ejection;
+    now = health.ejected_until;
+    CHECK(MayWork(health, now));
+    CountAnswer(health, now);
+  }
+  // Long after, it is as good as any.
+  now += seconds(30);
+  CountAnswer(health, now);
+  CHECK(health.ejection == Duration::zero());
+}
+
+TEST_CASE("a full upstream rests until places are free, and is not ejected") {
+  UpstreamHealth health;
+  TimePoint now = kStart;
+  for (int i = 0; i < 10; ++i) {
+    Rest(health, milliseconds(60), now);
+    CHECK_FALSE(MayWork(health, now));
+    CHECK_FALSE(DeservesEjection(health, now));
+    now = health.rests_until;
+    CHECK(MayWork(health, now));
+  }
+  CHECK(health.rest <= seconds(1));
+  CountAnswer(health, now);
+  Rest(health, milliseconds(60), now);
+  CHECK(health.rests_until == now + milliseconds(60));
+}
+
+}  // namespace
+}  // namespace mimosagauge
