--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -115,6 +115,16 @@
   return plain_services_.at(r * options_.plain_services + i);
 }
 
+Relay& Cluster::link_relay(std::size_t r, std::size_t i) {
+  return *link_relays_.at(r * options_.instances + i);
+}
+
+Endpoint Cluster::LinkAddress(std::size_t instance) const {
+  return link_relays_.empty()
+             ? instances_[instance].peer
+             : Endpoint{"127.0.0.1", link_relays_[instance]->port()};
+}
+
 void Cluster::Start(ClusterMember& member) {
   member.process.reset();
   member.process = std::make_unique<Process>(
@@ -144,17 +154,23 @@
   });
 }
 
-int Cluster::ApplyRules(const ClusterMember& through,
-                        const std::string& rules) {
+std::unique_ptr<Process> Cluster::BeginApplyRules(const ClusterMember& through,
+                                                  const std::string& rules) {
   const std::string number = std::to_string(++applied_);
   const std::string file = folder_ + "/rules-" + number + ".txt";
   const std::string token = folder_ + "/operator.token";
   WriteFile(file, rules);
   WriteFile(token, kOperatorToken);
-  Process command({Program("mimosagauge"), "rules", "apply", "--instance",
-                   ToString(through.operators), "--token-file", token, file},
-                  folder_ + "/apply-" + number + ".log");
-  return command.WaitExit().value_or(-1);
+  return std::make_unique<Process>(
+      std::vector<std::string>{Program("mimosagauge"), "rules", "apply",
+                               "--instance", ToString(through.operators),
+                               "--token-file", token, file},
+      folder_ + "/apply-" + number + ".log");
+}
+
+int Cluster::ApplyRules(const ClusterMember& through,
+                        const std::string& rules) {
+  return BeginApplyRules(through, rules)->WaitExit().value_or(-1);
 }
 
 std::string Cluster::Outputs() const {
@@ -212,6 +228,11 @@
       instances_.push_back(std::move(member));
     }
   }
+  for (const ClusterMember& member : instances_) {
+    if (options_.relayed_links) {
+      link_relays_.push_back(std::make_unique<Relay>(member.peer));
+    }
+  }
   for (const ClusterMember& member : instances_) {
     WriteSettings(member);
   }
@@ -245,7 +266,7 @@
       text += fmt::format(
           "  - {{id: {}, region: {}, zone: {}, peer: '{}', entry: '{}'}}\n",
           peer.name, peer.region, ZoneOf(peer.region, peer.name.back() - '1'),
-          ToString(peer.peer), ToString(peer.entry));
+          ToString(LinkAddress(i)), ToString(peer.entry));
     }
   }
   text += "upstreams:\n";
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/endpoint.h"
 #include "tests/support/http_client.h"
 #include "tests/support/process.h"
+#include "tests/support/relay.h"
 
 namespace mimosagauge::testing {
 
@@ -22,8 +23,9 @@
   std::size_t engines = 2;         ///< In each region.
   std::size_t plain_services = 1;  ///< In each region.
   std::vector<std::string> engine_arguments{"--tokens", "4", "--resume"};
-  std::string rules;          ///< Applied once everything runs; not if empty.
-  std::string more_settings;  ///< YAML appended to each instance's settings.
+  bool relayed_links = false;  ///< Each instance's links pass a relay.
+  std::string rules;           ///< Applied once everything runs; not if empty.
+  std::string more_settings;   ///< YAML appended to each instance's settings.
 };
 
 /// \brief One process of a cluster.
@@ -54,6 +56,8 @@
   [[nodiscard]] ClusterMember& engine(std::size_t r, std::size_t i);
   [[nodiscard]] ClusterMember& plain_service(std::size_t r, std::size_t i);
   [[nodiscard]] ClusterMember& store() noexcept { return store_; }
+  /// \returns What the others' links to an instance pass.
+  [[nodiscard]] Relay& link_relay(std::size_t r, std::size_t i);
 
   /// \brief Starts a member's process anew, with the command it had.
   void Start(ClusterMember& member);
@@ -66,6 +70,9 @@
   /// \returns The exit code of the command.
   [[nodiscard]] int ApplyRules(const ClusterMember& through,
                                const std::string& rules);
+  /// \brief The same without waiting for the command's end.
+  [[nodiscard]] std::unique_ptr<Process> BeginApplyRules(
+      const ClusterMember& through, const std::string& rules);
   /// \returns The outputs of all processes, for a failing test.
   [[nodiscard]] std::string Outputs() const;
 
@@ -74,6 +81,7 @@
 
  private:
   [[nodiscard]] Endpoint NextEndpoint();
+  [[nodiscard]] Endpoint LinkAddress(std::size_t instance) const;
   void PlanUpstreams();
   void PlanInstances();
   void WriteSettings(const ClusterMember& member);
@@ -86,6 +94,8 @@
   std::vector<ClusterMember> engines_;
   std::vector<ClusterMember> plain_services_;
   std::vector<ClusterMember> instances_;
+  std::vector<std::unique_ptr<Relay>>
+      link_relays_;  // One an instance, or none.
   std::size_t applied_ = 0;
 };
 
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -68,7 +68,7 @@
     directions[1].to = &near;
   }
 
-  void Connect(std::uint16_t target);
+  void Connect(const tcp::endpoint& target);
   void Read(std::size_t index);
   void Deliver(std::size_t index);
   void Apply(std::size_t index, const Rule& rule);
@@ -82,7 +82,7 @@
 };
 
 struct Relay::State {
-  State(asio::io_context& context, std::uint16_t to)
+  State(asio::io_context& context, const tcp::endpoint& to)
       : io(context),
         target(to),
         acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {}
@@ -90,7 +90,7 @@
   void Accept();
 
   asio::io_context& io;
-  std::uint16_t target;
+  tcp::endpoint target;
   tcp::acceptor acceptor;
   std::unordered_set<std::shared_ptr<Pipe>> pipes;
   std::array<Rule, 2> rules;
@@ -115,22 +115,21 @@
   });
 }
 
-void Relay::Pipe::Connect(std::uint16_t target) {
+void Relay::Pipe::Connect(const tcp::endpoint& target) {
   for (std::size_t i = 0; i < directions.size(); ++i) {
     directions[i].rule = state.rules[i];
   }
-  far.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), target),
-                    [self = shared_from_this()](const auto& error) {
-                      if (error || !self->open) {
-                        self->Close(false);
-                        return;
-                      }
-                      boost::system::error_code ignored;
-                      self->near.set_option(tcp::no_delay(true), ignored);
-                      self->far.set_option(tcp::no_delay(true), ignored);
-                      self->Read(0);
-                      self->Read(1);
-                    });
+  far.async_connect(target, [self = shared_from_this()](const auto& error) {
+    if (error || !self->open) {
+      self->Close(false);
+      return;
+    }
+    boost::system::error_code ignored;
+    self->near.set_option(tcp::no_delay(true), ignored);
+    self->far.set_option(tcp::no_delay(true), ignored);
+    self->Read(0);
+    self->Read(1);
+  });
 }
 
 void Relay::Pipe::Read(std::size_t index) {
@@ -235,9 +234,13 @@
   state.pipes.erase(shared_from_this());
 }
 
-Relay::Relay(std::uint16_t target)
+Relay::Relay(std::uint16_t target) : Relay(Endpoint{"127.0.0.1", target}) {}
+
+Relay::Relay(const Endpoint& target)
     : work_(asio::make_work_guard(io_)),
-      state_(std::make_unique<State>(io_, target)),
+      state_(std::make_unique<State>(
+          io_,
+          tcp::endpoint(asio::ip::make_address(target.address), target.port))),
       port_(state_->acceptor.local_endpoint().port()) {
   state_->Accept();
   thread_ = std::thread([this] { io_.run(); });
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -14,6 +14,7 @@
 #include <thread>
 #include <unordered_set>
 
+#include "mimosagauge/impl/core/endpoint.h"
 #include "mimosagauge/impl/core/error.h"
 
 namespace mimosagauge::testing {
@@ -28,13 +29,15 @@
 /// \brief Direction of bytes through a relay.
 enum class RelayDirection : std::uint8_t { kToTarget, kFromTarget };
 
-/// \brief Relays connections to `127.0.0.1:target` on a thread of its own.
+/// \brief Relays connections to its target (a port: of 127.0.0.1) on a thread
+/// of its own.
 ///
 /// Connections that were silenced stay silent after `Heal`, as when something
 /// between the two ends has lost track of them; new ones work.
 class Relay {
  public:
   explicit Relay(std::uint16_t target);
+  explicit Relay(const Endpoint& target);
   ~Relay();
 
   Relay(const Relay&) = delete;
