All instances tell their answers where an upstream is seen to fail

A sound order desk with 4 wrong requests in 100 was ejected at 0.8, 0.9, 4.2 and 16.3 s with 4 to 6 failures in 12 to 18. Change: whoever hears of failures tells its answers; six failures make a share, for answers come with the next digest; an ejection is forgotten when the share is below the threshold. Ruled out: telling all outcomes always (bytes).

--- a/include/mimosagauge/impl/decisions/upstream_health.h
+++ b/include/mimosagauge/impl/decisions/upstream_health.h
@@ -49,9 +49,9 @@
 /// \brief Own outcomes of one upstream that the region has not been told.
 struct UntoldOutcomes {
   std::uint32_t answered = 0;
-  std::uint32_t failed = 0;  ///< Zero: there is nothing to tell.
+  std::uint32_t failed = 0;
 };
-/// \returns Them; they count as told if any failed.
+/// \returns Them, from then on told; none while nobody has seen it fail.
 [[nodiscard]] UntoldOutcomes TakeUntold(UpstreamHealth& health, TimePoint now);
 
 /// \brief Another instance of the region told what it saw since it told last.
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -37,7 +37,7 @@
                                Whole(load.unread_tokens), Whole(sent)});
     }
     const UntoldOutcomes outcomes = TakeUntold(upstream.health, now);
-    if (outcomes.failed > 0) {
+    if (outcomes.answered + outcomes.failed > 0) {
       digest.outcomes.push_back({MarkOf(upstream.config.id), outcomes});
     }
   }
--- a/src/decisions/upstream_health.cc
+++ b/src/decisions/upstream_health.cc
@@ -13,8 +13,9 @@
 constexpr std::size_t kFailuresInARow = 3;
 // Counts fade over this time: long enough for several instances' words.
 constexpr Duration kShareWindow = std::chrono::seconds(3);
-// Failures below this number are no share.
-constexpr double kLeastFailures = 4;
+// Failures below this number are no share: the answers beside them may not have
+// been told yet.
+constexpr double kLeastFailures = 6;
 // Routes whose own errors are part of their answers stay below this share.
 constexpr double kFailingShare = 0.3;
 constexpr Duration kFirstEjection = std::chrono::seconds(1);
@@ -37,9 +38,8 @@
   health.faded_at = now;
 }
 
-[[nodiscard]] bool FailsItsShare(const UpstreamHealth& health) {
-  return health.failed >= kLeastFailures &&
-         health.failed >= kFailingShare * (health.failed + health.answered);
+[[nodiscard]] bool HasFailingShare(const UpstreamHealth& health) {
+  return health.failed >= kFailingShare * (health.failed + health.answered);
 }
 
 }  // namespace
@@ -55,7 +55,7 @@
   health.failures = 0;
   health.rest = Duration::zero();
   // One good answer does not clear an upstream that fails every other one.
-  if (!FailsItsShare(health)) {
+  if (!HasFailingShare(health)) {
     health.ejection = Duration::zero();
   }
 }
@@ -71,7 +71,10 @@
 UntoldOutcomes TakeUntold(UpstreamHealth& health, TimePoint now) {
   Fade(health, now);
   constexpr double kOne = 0.5;  // Rounded.
-  if (health.untold_failed < kOne) {
+  // Where anyone sees failures, all tell their answers too: told by the unlucky
+  // alone, a share of failures would seem greater than it is.
+  const bool heard = health.failed >= kOne && health.untold_answered >= kOne;
+  if (health.untold_failed < kOne && !heard) {
     return {};
   }
   const UntoldOutcomes untold{
@@ -93,7 +96,8 @@
   if (health.ejected_until > now) {
     return false;
   }
-  return health.failures >= kFailuresInARow || FailsItsShare(health);
+  return health.failures >= kFailuresInARow ||
+         (health.failed >= kLeastFailures && HasFailingShare(health));
 }
 
 void Eject(UpstreamHealth& health, TimePoint now) {
