Tests: a process that is stopped or killed has stopped before the test goes on

The log shows the second instance's request answered by the frozen one in 1 ms, 6 ms after the first answer, and the link silent only 2.5 s later: SIGSTOP had been sent and had not taken effect, so the owner gave its remembered answer, as it should. Nothing ran twice. Ruled out: a second run (the service's record has one).

--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -43,6 +44,16 @@
   posix_spawn_file_actions_t actions_{};
 };
 
+// On a busy machine a process runs on for a while after a signal was sent. Its
+// end stays to be reaped.
+void WaitForEffect(pid_t pid, int states) {
+  siginfo_t ignored{};
+  while (waitid(P_PID, static_cast<id_t>(pid), &ignored, states | WNOWAIT) !=
+             0 &&
+         errno == EINTR) {
+  }
+}
+
 }  // namespace
 
 Process::Process(const std::vector<std::string>& words, std::string output)
@@ -64,8 +75,14 @@
 Process::~Process() { Kill(); }
 
 void Process::Signal(int signal) const {
-  if (!exit_code_) {
-    kill(pid_, signal);
+  if (exit_code_) {
+    return;
+  }
+  kill(pid_, signal);
+  if (signal == SIGSTOP) {
+    WaitForEffect(pid_, WEXITED | WSTOPPED);
+  } else if (signal == SIGKILL) {
+    WaitForEffect(pid_, WEXITED);
   }
 }
 
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -22,7 +22,8 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
-  /// \brief Sends a signal.
+  /// \brief Sends a signal; one that stops or kills has taken effect
+  /// afterwards.
   void Signal(int signal) const;
   /// \brief SIGKILL, and waits for its end.
   void Kill();
