One check of whether another region's offers are fresh

Found by reading the change: the choice of the keeping region had a copy of what FreshOffers checks, and shared its name with the choice of an engine to copy from.

--- a/src/decisions/gateway_regions.cc
+++ b/src/decisions/gateway_regions.cc
@@ -91,8 +91,9 @@
 
 // Of the regions that may serve the request now; empty: it shares no part, or
 // nothing is known of any region.
-[[nodiscard]] RegionId KeeperOf(const Gateway& gateway,
-                                const RequestRecord& record, TimePoint now) {
+[[nodiscard]] RegionId KeepingRegionOf(const Gateway& gateway,
+                                       const RequestRecord& record,
+                                       TimePoint now) {
   const PromptPart* part = LeadingPart(record.arrival.head->prompt);
   if (part == nullptr) {
     return {};
@@ -104,9 +105,9 @@
         {gateway.config.region, CapacityOf(gateway.own_offers, service)});
   }
   for (const auto& [region, offers] : gateway.offers) {
-    if (now - offers.told_at <= kOfferLife &&
-        AllowsRegion(record.verdict, region)) {
-      regions.push_back({region, CapacityOf(offers.services, service)});
+    const RegionOffers* fresh = FreshOffers(gateway, region, now);
+    if (fresh != nullptr && AllowsRegion(record.verdict, region)) {
+      regions.push_back({region, CapacityOf(fresh->services, service)});
     }
   }
   return KeepingRegion(part->id, regions);
@@ -127,7 +128,7 @@
 
 RemoteChoice ChooseRemote(Gateway& gateway, const RequestRecord& record,
                           TimePoint now) {
-  const RegionId keeper = KeeperOf(gateway, record, now);
+  const RegionId keeper = KeepingRegionOf(gateway, record, now);
   std::vector<RemoteChoice> candidates;
   Duration best = Duration::max();
   for (const PeerState& peer : gateway.peers) {
