Place prompts by the whole chain of their shared parts

Cause: the Guild's digests begin with one of 4 common parts (2,520 tokens) and go on with one of 117 (small) or 428 (grown) others (3,780 tokens). Everything that looks at a prompt looked at its first shared part only: the upstream that instances prefer, the region that keeps a part, what instances tell each other, and which engine a part is copied from. So 4 parts decided where all digests went, and the second part was read wherever it came by.

Change: the last tracked part identifies a prompt; a copy source must have all of them; a digest names all of them. A prompt with one shared part is placed as before.

--- a/include/mimosagauge/impl/decisions/part_home.h
+++ b/include/mimosagauge/impl/decisions/part_home.h
@@ -26,7 +26,7 @@
 /// \brief Assigns a prompt part to a region by weighted rendezvous hashing:
 /// each region is assigned parts in proportion to its capacity, and a change in
 /// one region's capacity moves no part between two other regions.
-/// \param part The id of the leading shared part of a prompt.
+/// \param part The id of the most specific shared part of a prompt.
 /// \returns The region that caches the part; the same on every instance that
 /// passes the same regions and capacities. Empty when no region has capacity.
 [[nodiscard]] RegionId CacheRegionForPart(
--- a/include/mimosagauge/impl/decisions/prefix_cache.h
+++ b/include/mimosagauge/impl/decisions/prefix_cache.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <list>
 #include <unordered_map>
+#include <vector>
 
 #include "mimosagauge/impl/decisions/request.h"
 
@@ -46,9 +47,17 @@
 [[nodiscard]] std::uint32_t UncachedTokens(const PrefixCache& cache,
                                            const Prompt& prompt);
 
-/// \returns The first shared part with at least `kMinTrackedPartTokens` tokens,
-/// or null when the prompt has none. Points into `prompt`.
-[[nodiscard]] const PromptPart* LeadingSharedPart(
+/// \returns The tracked shared parts of the prompt, in order.
+[[nodiscard]] std::vector<PromptPart> TrackedSharedParts(const Prompt& prompt);
+
+/// \returns The tokens of all tracked shared parts of the prompt.
+[[nodiscard]] std::uint32_t SharedTokens(const Prompt& prompt) noexcept;
+
+/// \returns The last tracked shared part, or null when the prompt has none.
+/// Prompts begin with the parts that most requests share, so the last one
+/// identifies the requests that benefit from the same cache. Points into
+/// `prompt`.
+[[nodiscard]] const PromptPart* MostSpecificSharedPart(
     const Prompt& prompt) noexcept;
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -91,12 +91,12 @@
   LatencyEstimate expected;
   double prompt_tokens = 0;  ///< Prompt tokens that the upstream has to
                              ///< prefill.
-  /// Whether the upstream, or an engine that it can copy from, has the leading
-  /// shared part of the prompt in its cache.
+  /// Whether the upstream, or an engine that it can copy from, has all shared
+  /// parts of the prompt in its cache.
   bool part_cached = false;
-  /// Another engine that has the prompt's leading part in its cache; set only
-  /// when the chosen engine does not have it and copying it is faster than
-  /// prefill.
+  /// Another engine that has the prompt's shared parts in its cache; set only
+  /// when the chosen engine does not have all of them and copying is faster
+  /// than prefill.
   std::optional<Endpoint> cache_source{};
 };
 
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -83,8 +83,8 @@
     if (upstream->kind == UpstreamKind::kEngine) {
       const Prompt& prompt = record.arrival.head->prompt;
       Touch(upstream->cache, prompt);
-      if (const PromptPart* part = LeadingSharedPart(prompt)) {
-        gateway.parts_read.push_back({HashUpstreamId(id), *part});
+      for (const PromptPart& part : TrackedSharedParts(prompt)) {
+        gateway.parts_read.push_back({HashUpstreamId(id), part});
       }
     }
   }
--- a/src/decisions/gateway_regions.cc
+++ b/src/decisions/gateway_regions.cc
@@ -97,13 +97,13 @@
   return offer != fresh_offers->services.end() && offer->second.usable > 0;
 }
 
-// Returns the region that caches the leading part of the request's prompt, out
+// Returns the region that caches the shared parts of the request's prompt, out
 // of the regions that may serve the request now. Returns an empty id if the
 // prompt has no shared part or no region is known.
 [[nodiscard]] RegionId CachingRegionOf(const Gateway& gateway,
                                        const RequestRecord& record,
                                        TimePoint now) {
-  const PromptPart* part = LeadingSharedPart(record.arrival.head->prompt);
+  const PromptPart* part = MostSpecificSharedPart(record.arrival.head->prompt);
   if (part == nullptr) {
     return {};
   }
@@ -122,15 +122,15 @@
   return CacheRegionForPart(part->id, regions);
 }
 
-// Returns the number of prompt tokens that the region would have to read: only
-// those after the leading part if it caches that part, else all.
+// Returns the number of prompt tokens that the region would have to read: those
+// outside the shared parts if it caches these, else all.
 [[nodiscard]] double PromptTokensToRead(const RegionId& region,
                                         const RegionId& caching_region,
                                         const Prompt& prompt) {
-  const PromptPart* part = LeadingSharedPart(prompt);
-  const bool cached = part != nullptr && region == caching_region;
   const std::uint32_t cached_tokens =
-      cached ? std::min(part->tokens, prompt.tokens_in) : 0;
+      region == caching_region
+          ? std::min(SharedTokens(prompt), prompt.tokens_in)
+          : 0;
   return prompt.tokens_in - cached_tokens;
 }
 
--- a/src/decisions/prefix_cache.cc
+++ b/src/decisions/prefix_cache.cc
@@ -3,14 +3,22 @@
 #include "mimosagauge/impl/decisions/prefix_cache.h"
 
 #include <algorithm>
+#include <iterator>
+#include <numeric>
 
 namespace mimosagauge {
 namespace {
 
-// Number of shared parts. The last part of a prompt is not shared: it is
+// The end of the shared parts. The last part of a prompt is not shared: it is
 // specific to the request.
-[[nodiscard]] std::size_t SharedPartCount(const Prompt& prompt) noexcept {
-  return prompt.parts.empty() ? 0 : prompt.parts.size() - 1;
+[[nodiscard]] std::vector<PromptPart>::const_iterator EndOfSharedParts(
+    const Prompt& prompt) noexcept {
+  return prompt.parts.empty() ? prompt.parts.end()
+                              : std::prev(prompt.parts.end());
+}
+
+[[nodiscard]] bool IsTracked(const PromptPart& part) noexcept {
+  return part.tokens >= kMinTrackedPartTokens;
 }
 
 void Remove(PrefixCache& cache, std::uint64_t id) {
@@ -33,7 +41,7 @@
 }  // namespace
 
 void Touch(PrefixCache& cache, const PromptPart& part) {
-  if (part.tokens < kMinTrackedPartTokens) {
+  if (!IsTracked(part)) {
     return;
   }
   AddAsMostRecent(cache, part);
@@ -44,9 +52,8 @@
 }
 
 void Touch(PrefixCache& cache, const Prompt& prompt) {
-  for (std::size_t i = 0; i < SharedPartCount(prompt); ++i) {
-    Touch(cache, prompt.parts[i]);
-  }
+  std::for_each(prompt.parts.begin(), EndOfSharedParts(prompt),
+                [&cache](const PromptPart& part) { Touch(cache, part); });
 }
 
 void Clear(PrefixCache& cache) {
@@ -57,26 +64,39 @@
 
 std::uint32_t UncachedTokens(const PrefixCache& cache, const Prompt& prompt) {
   std::uint32_t cached_tokens = 0;
-  for (std::size_t i = 0; i < SharedPartCount(prompt); ++i) {
-    if (prompt.parts[i].tokens < kMinTrackedPartTokens) {
+  const auto end = EndOfSharedParts(prompt);
+  for (auto part = prompt.parts.begin(); part != end; ++part) {
+    if (!IsTracked(*part)) {
       continue;
     }
     // A cached part is usable only when all parts before it are cached too.
-    if (cache.index.count(prompt.parts[i].id) == 0) {
+    if (cache.index.count(part->id) == 0) {
       break;
     }
-    cached_tokens += prompt.parts[i].tokens;
+    cached_tokens += part->tokens;
   }
   return prompt.tokens_in - std::min(prompt.tokens_in, cached_tokens);
 }
 
-const PromptPart* LeadingSharedPart(const Prompt& prompt) noexcept {
-  for (std::size_t i = 0; i < SharedPartCount(prompt); ++i) {
-    if (prompt.parts[i].tokens >= kMinTrackedPartTokens) {
-      return &prompt.parts[i];
-    }
-  }
-  return nullptr;
+std::vector<PromptPart> TrackedSharedParts(const Prompt& prompt) {
+  std::vector<PromptPart> parts;
+  std::copy_if(prompt.parts.begin(), EndOfSharedParts(prompt),
+               std::back_inserter(parts), IsTracked);
+  return parts;
+}
+
+std::uint32_t SharedTokens(const Prompt& prompt) noexcept {
+  return std::accumulate(prompt.parts.begin(), EndOfSharedParts(prompt), 0U,
+                         [](std::uint32_t sum, const PromptPart& part) {
+                           return sum + (IsTracked(part) ? part.tokens : 0);
+                         });
+}
+
+const PromptPart* MostSpecificSharedPart(const Prompt& prompt) noexcept {
+  const auto end = std::make_reverse_iterator(prompt.parts.begin());
+  const auto found = std::find_if(
+      std::make_reverse_iterator(EndOfSharedParts(prompt)), end, IsTracked);
+  return found == end ? nullptr : &*found;
 }
 
 }  // namespace mimosagauge
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -92,9 +92,9 @@
   const UpstreamState* upstream = nullptr;
   LatencyEstimate expected;
   Duration cost{};                             // See `PlacementCost`.
-  const UpstreamState* copy_source = nullptr;  // Engine to copy the leading
-                                               // part from; null when the
-                                               // upstream prefills it.
+  const UpstreamState* copy_source = nullptr;  // Engine to copy shared parts
+                                               // from; null when the upstream
+                                               // prefills them.
   double prompt_tokens = 0;
 };
 
@@ -102,30 +102,37 @@
 // request: prefill delays the other requests in the batch and evicts cached
 // parts that they could use.
 constexpr double kPrefillCostFactor = 2;
-// Fraction of the leading part that is assumed to be cached on the upstream
-// that all instances prefer for it, because another instance has probably sent
-// it there.
+// Fraction of the shared parts that is assumed to be cached on the upstream
+// that all instances prefer for them, because another instance has probably
+// sent them there.
 constexpr double kAssumedCachedFraction = 0.5;
 
+// Tokens of the prompt's tracked shared parts that are not in the upstream's
+// cache.
+[[nodiscard]] std::uint32_t MissingSharedTokens(const UpstreamState& upstream,
+                                                const Prompt& prompt) {
+  const std::uint32_t own_tokens =
+      prompt.tokens_in - std::min(prompt.tokens_in, SharedTokens(prompt));
+  const std::uint32_t uncached = UncachedTokens(upstream.cache, prompt);
+  return uncached - std::min(uncached, own_tokens);
+}
+
 // Prompt tokens that the upstream would probably have to prefill.
 [[nodiscard]] double ExpectedPrefillTokens(const UpstreamState& upstream,
                                            const Prompt& prompt,
                                            bool preferred) {
-  const double whole = prompt.tokens_in;
   const double uncached = UncachedTokens(upstream.cache, prompt);
-  const PromptPart* leading = LeadingSharedPart(prompt);
-  if (!preferred || leading == nullptr || uncached < whole) {
-    return uncached;
-  }
-  return uncached -
-         kAssumedCachedFraction * std::min<double>(leading->tokens, whole);
+  return preferred ? uncached - kAssumedCachedFraction *
+                                    MissingSharedTokens(upstream, prompt)
+                   : uncached;
 }
 
-// Whether the upstream has the leading shared part of the prompt in its cache.
-[[nodiscard]] bool HasLeadingPartCached(const UpstreamState& upstream,
+// Whether the upstream has all shared parts of the prompt in its cache. False
+// for a prompt without such parts.
+[[nodiscard]] bool HasSharedPartsCached(const UpstreamState& upstream,
                                         const Prompt& prompt) {
-  const PromptPart* part = LeadingSharedPart(prompt);
-  return part != nullptr && upstream.cache.index.count(part->id) != 0;
+  return MostSpecificSharedPart(prompt) != nullptr &&
+         MissingSharedTokens(upstream, prompt) == 0;
 }
 
 [[nodiscard]] LatencyQuery LoadQuestionFor(const UpstreamState& upstream) {
@@ -136,35 +143,34 @@
   return question;
 }
 
-// An engine that has the leading part of the prompt in its cache, from which
-// other engines can copy it; null when there is none.
+// An engine that has all shared parts of the prompt in its cache, from which
+// other engines can copy them; null when there is none.
 [[nodiscard]] const UpstreamState* FindCopySource(const UpstreamTable& table,
                                                   const UpstreamNeed& need,
                                                   TimePoint now) {
-  const PromptPart* part =
-      need.prompt ? LeadingSharedPart(*need.prompt) : nullptr;
-  const UpstreamState* copy_source = nullptr;
-  if (part != nullptr) {
-    AnyUpstreamOffering(table, need, [&](const UpstreamState& upstream) {
-      const bool is_cached = AcceptsRequests(upstream, now) &&
-                             HasLeadingPartCached(upstream, *need.prompt);
-      copy_source = is_cached ? &upstream : nullptr;
-      return is_cached;
-    });
+  if (need.prompt == nullptr ||
+      MostSpecificSharedPart(*need.prompt) == nullptr) {
+    return nullptr;
   }
+  const UpstreamState* copy_source = nullptr;
+  AnyUpstreamOffering(table, need, [&](const UpstreamState& upstream) {
+    const bool is_cached = AcceptsRequests(upstream, now) &&
+                           HasSharedPartsCached(upstream, *need.prompt);
+    copy_source = is_cached ? &upstream : nullptr;
+    return is_cached;
+  });
   return copy_source;
 }
 
-// Time to copy the part, expressed as the number of prompt tokens that the
-// engine could prefill in that time. Empty when the upstream cannot copy, or
-// when copying is not faster than prefill.
+// Time to copy `tokens` of KV cache, expressed as the number of prompt tokens
+// that the engine could prefill in that time. Empty when the upstream cannot
+// copy, or when copying is not faster than prefill.
 [[nodiscard]] std::optional<double> CopyCostInTokens(
-    const UpstreamTable& table, const UpstreamState& upstream,
-    const PromptPart& part) {
-  const double tokens = part.tokens * upstream.copy_ms_per_token *
-                        table.speeds.prompt_tokens_per_ms;
-  const bool faster = upstream.copy_ms_per_token > 0 && tokens < part.tokens;
-  return faster ? std::optional(tokens) : std::nullopt;
+    const UpstreamTable& table, const UpstreamState& upstream, double tokens) {
+  const double cost =
+      tokens * upstream.copy_ms_per_token * table.speeds.prompt_tokens_per_ms;
+  const bool faster = upstream.copy_ms_per_token > 0 && cost < tokens;
+  return faster ? std::optional(cost) : std::nullopt;
 }
 
 [[nodiscard]] Candidate EvaluateCandidate(const UpstreamTable& table,
@@ -180,15 +186,11 @@
     question.prompt_tokens =
         ExpectedPrefillTokens(upstream, *need.prompt, preferred);
     question.output_tokens = need.prompt->tokens_out;
-    const PromptPart* part = LeadingSharedPart(*need.prompt);
-    const bool needs_prefill =
-        part != nullptr && !HasLeadingPartCached(upstream, *need.prompt);
-    if (needs_prefill && copy_source != nullptr && copy_source != &upstream) {
-      if (const auto copy_tokens = CopyCostInTokens(table, upstream, *part)) {
+    const std::uint32_t missing = MissingSharedTokens(upstream, *need.prompt);
+    if (missing > 0 && copy_source != nullptr && copy_source != &upstream) {
+      if (const auto copy_cost = CopyCostInTokens(table, upstream, missing)) {
         question.prompt_tokens =
-            need.prompt->tokens_in -
-            std::min<double>(need.prompt->tokens_in, part->tokens) +
-            *copy_tokens;
+            UncachedTokens(upstream.cache, *need.prompt) - missing + *copy_cost;
         candidate.copy_source = copy_source;
       }
     }
@@ -209,16 +211,16 @@
          upstream.limit;
 }
 
-// The upstream that every instance prefers for the leading part of a prompt, by
-// rendezvous hashing; null when the prompt has no such part.
+// The upstream that every instance prefers for the most specific shared part of
+// a prompt, by rendezvous hashing; null when the prompt has no such part.
 [[nodiscard]] const UpstreamState* FindPreferred(
     const std::vector<const UpstreamState*>& usable, const Prompt* prompt) {
-  const PromptPart* leading = prompt ? LeadingSharedPart(*prompt) : nullptr;
-  if (leading == nullptr) {
+  const PromptPart* part = prompt ? MostSpecificSharedPart(*prompt) : nullptr;
+  if (part == nullptr) {
     return nullptr;
   }
-  const auto weight = [leading](const UpstreamState* upstream) {
-    return RendezvousWeight(leading->id, upstream->config.id.value());
+  const auto weight = [part](const UpstreamState* upstream) {
+    return RendezvousWeight(part->id, upstream->config.id.value());
   };
   return *std::max_element(
       usable.begin(), usable.end(),
@@ -352,7 +354,7 @@
   choice.prompt_tokens = best->prompt_tokens;
   choice.part_cached = best->copy_source != nullptr ||
                        (need.prompt != nullptr &&
-                        HasLeadingPartCached(*best->upstream, *need.prompt));
+                        HasSharedPartsCached(*best->upstream, *need.prompt));
   if (best->copy_source != nullptr) {
     choice.cache_source = best->copy_source->config.endpoint;
   }
--- a/tests/unit/fleet_gateway_test.cc
+++ b/tests/unit/fleet_gateway_test.cc
@@ -246,6 +246,45 @@
   CHECK(passed_on < 20);
 }
 
+// A few common heads, each followed by one of many parts.
+TEST_CASE("the region that keeps a prompt is that of its last shared part") {
+  FleetGateway world;
+  for (int i = 0; i < 8; ++i) {
+    world.Upstream("engine-" + std::to_string(i), "engines");
+  }
+  world.Instance("mombasa-1", "mombasa");
+  world.Pass(seconds(1));
+  LoadDigest digest;
+  digest.offers = {{ServiceId{"engines"}, 8, milliseconds(20), 0.1}};
+  world.Give(LoadReceived{InstanceId{"mombasa-1"}, digest});
+  std::size_t passed_on = 0;
+  for (std::uint64_t part = 1; part <= 40; ++part) {
+    FleetRequest request = Review();
+    request.prompt.parts = {{1, 2520}, {100 + part, 10780}, {8, 3720}};
+    passed_on += Find<StartLinkAttempt>(world.Request(request).second) ? 1 : 0;
+  }
+  CHECK(passed_on >= 10);
+  CHECK(passed_on <= 30);
+}
+
+TEST_CASE("instances of a region tell each other every shared part") {
+  FleetGateway world;
+  world.Upstream("engine-1", "engines");
+  world.Instance("nairobi-2", "nairobi");
+  FleetRequest request = Review();
+  request.prompt.parts = {{1, 2520}, {2, 300}, {3, 10480}, {8, 3720}};
+  REQUIRE(Find<StartUpstreamAttempt>(world.Request(request).second));
+  const auto told = Find<SendLoad>(world.Pass(seconds(1)));
+  REQUIRE(told);
+  std::vector<PromptPart> parts;
+  for (const PartRead& read : told->digest->parts) {
+    CHECK(read.upstream == HashUpstreamId(UpstreamId{"engine-1"}));
+    parts.push_back(read.part);
+  }
+  // Parts of less than 512 tokens are not worth telling.
+  CHECK(parts == std::vector<PromptPart>{{1, 2520}, {3, 10480}});
+}
+
 // One region at its peak, the other at rest; all instances know the same.
 TEST_CASE("part of a busy plain service's requests goes to an idle region") {
   struct Case {
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -135,6 +135,75 @@
   }
 }
 
+// Load pattern: prompts begin with one of a few common heads, and share a
+// second part with a few requests a minute.
+[[nodiscard]] Prompt Digest(std::uint64_t season, std::uint64_t subject) {
+  return {9190, 50, {{season, 2520}, {subject + 100, 3780}, {9999, 2890}}};
+}
+
+TEST_CASE("prompts with a common head spread by the part that follows it") {
+  UpstreamTable table = Engines(8);
+  for (UpstreamState& engine : table.upstreams) {
+    for (std::uint64_t season = 1; season <= 4; ++season) {
+      Touch(engine.cache, PromptPart{season, 2520});
+    }
+  }
+  const bool heads_cached = GENERATE(true, false);
+  CAPTURE(heads_cached);
+  if (!heads_cached) {
+    table = Engines(8);
+  }
+  std::set<std::string> used;
+  for (std::uint64_t subject = 1; subject <= 40; ++subject) {
+    const Prompt prompt = Digest(1 + subject % 4, subject);
+    const std::string choice = Choose(table, prompt);
+    // Instances that choose at the same time agree.
+    CHECK(choice == Choose(table, prompt, kStart, 99));
+    used.insert(choice);
+  }
+  CHECK(used.size() >= 6);
+}
+
+TEST_CASE("a prompt stays where all of its shared parts have been read") {
+  UpstreamTable table = Engines(8);
+  for (UpstreamState& engine : table.upstreams) {
+    Touch(engine.cache, PromptPart{1, 2520});
+  }
+  Touch(FindUpstream(table, UpstreamId{"engine-5"})->cache, Digest(1, 7));
+  for (std::uint64_t draw = 0; draw < 20; ++draw) {
+    CHECK(Choose(table, Digest(1, 7), kStart, draw) == "engine-5");
+  }
+}
+
+TEST_CASE("the second part is copied to an engine that has only the head") {
+  UpstreamTable table;
+  for (const char* id : {"engine-0", "engine-1"}) {
+    UpstreamRecord record = Engine(id);
+    record.config.endpoint = {
+        "10.1.64.1", id[7] == '0' ? std::uint16_t{80} : std::uint16_t{81}};
+    UpdateUpstream(table, record,
+                   {UpstreamKind::kEngine, 128, 245000, 4.5, 0.0048}, kStart);
+  }
+  const Prompt prompt = Digest(1, 7);
+  UpstreamState* keeper = FindUpstream(table, UpstreamId{"engine-0"});
+  Touch(keeper->cache, prompt);
+  keeper->in_flight = keeper->limit;
+  Touch(FindUpstream(table, UpstreamId{"engine-1"})->cache,
+        PromptPart{1, 2520});
+  UpstreamNeed need;
+  need.service = kEngines;
+  need.prompt = &prompt;
+  const auto choice = ChooseUpstream(table, need, kZone, kRegion, kStart);
+  REQUIRE(choice);
+  CHECK(choice->id == UpstreamId{"engine-1"});
+  REQUIRE(choice->cache_source);
+  CHECK(choice->cache_source->port == 80);
+  // The own part is read; copying the second one takes a quarter of the time
+  // of reading it.
+  CHECK(choice->prompt_tokens < 2890 + 3780 / 2);
+  CHECK(choice->part_cached);
+}
+
 TEST_CASE("requests without a prompt spread over equal upstreams") {
   const UpstreamTable table = Engines(6);
   std::set<std::string> used;
