End answers without end, and discard second copies

Cause: a chunk extension or a trailer that never ends was buffered without a limit (upstreams, store calls, watch); comments, empty lines and lines without a field kept an event stream alive and counted as events; without limits.due_grace an answer that sent a byte now and then never ended; a body without a length was passed to the caller although it could never be complete (default dialect). The store client put a connection back on which more bytes had followed the answer, and gave a second copy of an answer to the next call. An upstream that returns Mimosagauge-Request-Id was not held to it.

Change: 128 KiB for a header, chunk size line or trailer that has not ended; 1 MiB without the end of an event that has a field; from its due time on an answer has to make progress within limits.silence (an event, or 1 KiB of another body); a body without a length is refused at its head. A connection with unread bytes is never used again, one check for store and upstreams.

--- a/include/mimosagauge/impl/duties/common/http_fields.h
+++ b/include/mimosagauge/impl/duties/common/http_fields.h
@@ -46,6 +46,11 @@
     const boost::beast::http::fields& fields,
     bool (*is_dropped)(std::string_view name));
 
+/// \returns The value of the field; empty if the field is missing. The view is
+/// valid as long as `fields`.
+[[nodiscard]] std::string_view FieldValue(
+    const boost::beast::http::fields& fields, std::string_view name);
+
 /// \returns The value of the first field of this name, ignoring case, or an
 /// empty text when there is none.
 [[nodiscard]] std::string_view FindField(const std::vector<Header>& headers,
--- a/include/mimosagauge/impl/duties/upstreams/attempt.h
+++ b/include/mimosagauge/impl/duties/upstreams/attempt.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/duties/common/growing_body.h"
@@ -69,6 +70,9 @@
   [[nodiscard]] bool CheckStreamEnd();
   [[nodiscard]] bool AllDelivered() const;
   [[nodiscard]] RunState RunStateOnFailure() const noexcept;
+  [[nodiscard]] bool AppendEvents(std::string_view bytes);
+  void AppendBody(std::string_view bytes);
+  void RestartProgressPeriod();
   void RestartProgressTimeout();
   void Fail(ErrorKind kind, std::string message, std::string remedy);
   void FailWithRunState(RunState run, ErrorKind kind, std::string message,
@@ -90,6 +94,10 @@
   std::int64_t credit_ = 0;
   std::optional<Clock::time_point> deadline_;
   Clock::time_point answer_due_;
+  // Time by which an answer that has begun has to make progress: another event,
+  // or `kMinBodyProgress` bytes of another body. Not before `answer_due_`.
+  Clock::time_point progress_due_;
+  std::size_t bytes_without_progress_ = 0;  // Of the body.
   // Time after which the upstream closes an idle connection, as announced in
   // the answer; none if it announced no time.
   std::optional<Duration> idle_timeout_;
--- a/include/mimosagauge/impl/duties/upstreams/event_stream.h
+++ b/include/mimosagauge/impl/duties/upstreams/event_stream.h
@@ -37,6 +37,12 @@
   [[nodiscard]] std::size_t buffered_bytes() const noexcept {
     return buffer_.size();
   }
+  /// \returns The number of complete events appended so far that have at least
+  /// one field of the event stream format. Blocks of comments, of empty lines
+  /// or of lines that are no such field do not count.
+  [[nodiscard]] std::uint64_t events_with_fields() const noexcept {
+    return events_with_fields_;
+  }
   /// \returns Whether the last complete event was `data: [DONE]`.
   [[nodiscard]] bool last_event_was_done() const noexcept {
     return last_event_was_done_;
@@ -59,6 +65,7 @@
   std::size_t scanned_bytes_ = 0;    // Scanned for line ends; >= `line_start_`.
   std::optional<std::string> current_id_;     // Id of the event being read.
   std::optional<std::string> last_event_id_;  // Id of the last complete event.
+  std::uint64_t events_with_fields_ = 0;
   // The event being read has at least one field, not only comments.
   bool current_has_fields_ = false;
   bool current_event_is_done_ = false;  // The event being read is `[DONE]`.
--- a/src/duties/common/http_fields.cc
+++ b/src/duties/common/http_fields.cc
@@ -89,6 +89,13 @@
   return headers;
 }
 
+std::string_view FieldValue(const boost::beast::http::fields& fields,
+                            std::string_view name) {
+  const auto value =
+      fields[boost::beast::string_view(name.data(), name.size())];
+  return {value.data(), value.size()};
+}
+
 std::string_view FindField(const std::vector<Header>& headers,
                            std::string_view name) noexcept {
   for (const Header& header : headers) {
--- a/src/duties/upstreams/attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -20,6 +20,7 @@
 #include "mimosagauge/impl/duties/upstreams/pool.h"
 #include "mimosagauge/impl/duties/upstreams/request_text.h"
 #include "mimosagauge/impl/duties/upstreams/server.h"
+#include "mimosagauge/impl/store/http_connection.h"
 
 namespace mimosagauge::detail {
 namespace {
@@ -32,11 +33,15 @@
 constexpr std::size_t kWriteBytes = 64UL * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64U * 1024;
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+// Body bytes that count as progress of an answer without events.
+constexpr std::size_t kMinBodyProgress = 1024;
 constexpr int kMaxInterimAnswers = 8;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr int kKeepAliveProbes = 3;
 
 constexpr const char* kCheckUpstreamLog = "check the upstream's log";
+constexpr const char* kMarkTheEnd =
+    "configure the upstream to send Content-Length or a chunked body";
 
 // Makes the kernel detect a peer that is unreachable, even while no data is
 // sent. `silence`: time without any acknowledgement until the connection fails.
@@ -194,6 +199,16 @@
       !start_effect_.head->stream;
   deadline_ = awaiting_unstreamed_answer ? std::max(answer_due_, now + silence)
                                          : now + silence;
+  if (head_posted_) {
+    deadline_ = std::min<Clock::time_point>(*deadline_, progress_due_);
+  }
+}
+
+// Single bytes or comments keep an answer alive until it is due. After that, it
+// has to make progress, or a stalled stream would never end.
+void UpstreamAttempt::RestartProgressPeriod() {
+  progress_due_ = std::max<Clock::time_point>(
+      answer_due_, Clock::now() + server_.settings().limits.silence);
 }
 
 void UpstreamAttempt::WaitReadable() {
@@ -223,12 +238,12 @@
     OnClosed(error);
     return;
   }
-  if (size > 0) {
-    RestartProgressTimeout();
-  }
   if (!Parse()) {
     return;
   }
+  if (size > 0) {
+    RestartProgressTimeout();
+  }
   Deliver();
   WaitReadable();
 }
@@ -252,7 +267,7 @@
     Fail(ErrorKind::kUnknownOutcome,
          "the upstream closed the connection without marking the end of its "
          "answer",
-         "configure the upstream to send Content-Length or a chunked body");
+         kMarkTheEnd);
     return;
   }
   Fail(ErrorKind::kUnavailable,
@@ -329,6 +344,14 @@
   answer.headers = server_.dialect().fields_for_caller(head);
   event_stream_ = IsEventStream(answer.headers) &&
                   FindField(answer.headers, "Content-Encoding").empty();
+  const bool has_end = !parser_->need_eof() || event_stream_ ||
+                       server_.dialect().allows_close_delimited_bodies;
+  if (!has_end) {
+    FailWithRunState(RunState::kRan, ErrorKind::kInvalidInput,
+                     "the upstream's answer does not mark the end of its body",
+                     kMarkTheEnd);
+    return false;
+  }
   const auto length = head[http::field::content_length];
   if (!length.empty()) {
     answer.headers.push_back(
@@ -338,6 +361,7 @@
   answer.path.push_back(
       {server_.settings().region, start_effect_.upstream.value()});
   head_posted_ = true;
+  RestartProgressPeriod();
   parser_->eager(true);
   server_.Post(
       AttemptHeadReceived{start_effect_.attempt, std::move(answer), info.load});
@@ -350,7 +374,10 @@
     const std::size_t consumed = parser_->put(buffer_.data(), error);
     buffer_.consume(consumed);
     if (error == http::error::need_more) {
-      break;
+      if (buffer_.size() <= kMaxUnparsedBytes) {
+        break;
+      }
+      error = http::error::bad_chunk_extension;
     }
     if (error) {
       Fail(ErrorKind::kInvalidInput,
@@ -364,21 +391,43 @@
   }
   std::string& parsed = parser_->get().body();
   if (event_stream_) {
-    event_splitter_.Append(parsed);
+    if (!AppendEvents(parsed)) {
+      return false;
+    }
   } else {
-    undelivered_body_ += parsed;
+    AppendBody(parsed);
   }
   parsed.clear();
   answer_complete_ = parser_->is_done();
-  if (event_splitter_.partial_bytes() > kMaxEventBytes) {
+  return true;
+}
+
+bool UpstreamAttempt::AppendEvents(std::string_view bytes) {
+  const std::uint64_t events = event_splitter_.events_with_fields();
+  event_splitter_.Append(bytes);
+  bytes_without_progress_ += bytes.size();
+  if (event_splitter_.events_with_fields() > events) {
+    RestartProgressPeriod();
+    bytes_without_progress_ = event_splitter_.partial_bytes();
+  }
+  if (bytes_without_progress_ > kMaxEventBytes) {
     Fail(ErrorKind::kInvalidInput,
-         "the upstream sent an incomplete event of more than 1 MiB",
+         "the upstream sent more than 1 MiB without the end of an event",
          kCheckUpstreamLog);
     return false;
   }
   return true;
 }
 
+void UpstreamAttempt::AppendBody(std::string_view bytes) {
+  undelivered_body_ += bytes;
+  bytes_without_progress_ += bytes.size();
+  if (bytes_without_progress_ >= kMinBodyProgress) {
+    RestartProgressPeriod();
+    bytes_without_progress_ = 0;
+  }
+}
+
 void UpstreamAttempt::Deliver() {
   if (phase_ != Phase::kExchanging || !head_posted_) {
     return;
@@ -507,10 +556,14 @@
 }
 
 void UpstreamAttempt::AddCredit(Bytes bytes) {
+  const bool was_blocked = credit_ <= 0;
   credit_ += ToCredit(bytes);
   if (phase_ != Phase::kExchanging || credit_ <= 0) {
     return;
   }
+  if (was_blocked) {
+    RestartProgressPeriod();  // The caller was the slow side.
+  }
   RestartProgressTimeout();
   Deliver();
   WaitReadable();
--- a/src/duties/upstreams/dialect.cc
+++ b/src/duties/upstreams/dialect.cc
@@ -2,7 +2,7 @@
 
 #include "mimosagauge/impl/duties/upstreams/dialect.h"
 
-#include <boost/beast/core/string.hpp>
+#include <string_view>
 
 #include "mimosagauge/impl/duties/common/http_fields.h"
 #include "mimosagauge/impl/duties/upstreams/request_text.h"
@@ -14,13 +14,18 @@
 
 [[nodiscard]] AnswerHeadInfo ReadHead(
     const boost::beast::http::response_header<>& head,
-    const StartUpstreamAttempt& /*attempt*/) {
+    const StartUpstreamAttempt& attempt) {
   AnswerHeadInfo info;
-  const auto value =
-      head[boost::beast::string_view(kNotRunField.data(), kNotRunField.size())];
+  // Upstreams need not return the id. One that does identifies a late copy of
+  // an earlier answer on the same connection.
+  const std::string_view id = FieldValue(head, kRequestIdField);
+  if (!id.empty() && id != attempt.head->id.value()) {
+    info.fault = "the answer has the Mimosagauge-Request-Id of another request";
+    return info;
+  }
   info.refused_without_running =
       head.result_int() == kServiceUnavailable &&
-      EqualsIgnoringCase({value.data(), value.size()}, "true");
+      EqualsIgnoringCase(FieldValue(head, kNotRunField), "true");
   return info;
 }
 
--- a/src/duties/upstreams/event_stream.cc
+++ b/src/duties/upstreams/event_stream.cc
@@ -30,6 +30,11 @@
   return {line.substr(0, colon), value};
 }
 
+// Whether the event stream format defines the field; clients ignore others.
+[[nodiscard]] bool IsEventField(std::string_view name) noexcept {
+  return name == "data" || name == "id" || name == "event" || name == "retry";
+}
+
 }  // namespace
 
 void EventSplitter::Append(std::string_view bytes) {
@@ -68,7 +73,7 @@
     return;
   }
   const Field field = ParseField(line);
-  current_has_fields_ = true;
+  current_has_fields_ = current_has_fields_ || IsEventField(field.name);
   if (field.name == "id" && !field.value.empty()) {
     current_id_ = std::string(field.value);
   } else if (field.name == "data") {
@@ -78,6 +83,7 @@
 
 void EventSplitter::EndEvent(std::size_t next_line) {
   if (current_has_fields_) {
+    ++events_with_fields_;
     last_event_id_ = std::exchange(current_id_, std::nullopt);
     last_event_was_done_ = current_event_is_done_;
   }
--- a/src/duties/upstreams/pool.cc
+++ b/src/duties/upstreams/pool.cc
@@ -3,15 +3,13 @@
 #include "mimosagauge/impl/duties/upstreams/pool.h"
 
 #include <algorithm>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/error.hpp>
 #include <utility>
 
+#include "mimosagauge/impl/store/http_connection.h"
+
 namespace mimosagauge::detail {
 namespace {
 
-namespace asio = boost::asio;
-
 constexpr std::chrono::seconds kMaxIdleTime{30};
 // If a request is sent while the upstream closes the connection, it is unknown
 // whether the request was run. The pool therefore closes connections this long
@@ -21,23 +19,12 @@
 // least this many.
 constexpr std::size_t kMinIdleCapacity = 8;
 
-// Returns whether a connection can be used for another request, which is the
-// case if there is nothing to read on it. An end of file or unexpected bytes
-// mean that the upstream has finished with the connection.
-[[nodiscard]] bool HasNothingToRead(asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  boost::system::error_code error;
-  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
-                 error);
-  return error == asio::error::would_block;
-}
-
 }  // namespace
 
 UpstreamPool::UpstreamPool(UpstreamSettings settings, Incarnation incarnation)
     : settings_(std::move(settings)), incarnation_(incarnation) {}
 
-std::optional<asio::ip::tcp::socket> UpstreamPool::TakeIdleSocket() {
+std::optional<boost::asio::ip::tcp::socket> UpstreamPool::TakeIdleSocket() {
   const auto now = Clock::now();
   while (!idle_.empty()) {
     IdleSocket idle = std::move(idle_.back());
@@ -49,7 +36,7 @@
   return std::nullopt;
 }
 
-void UpstreamPool::ReturnSocket(asio::ip::tcp::socket socket,
+void UpstreamPool::ReturnSocket(boost::asio::ip::tcp::socket socket,
                                 std::optional<Duration> idle_timeout) {
   Clock::duration usable_for = kMaxIdleTime;
   if (idle_timeout) {
--- a/src/queries/operators_client.cc
+++ b/src/queries/operators_client.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/queries/rules_file.h"
+#include "mimosagauge/impl/store/http_connection.h"
 
 namespace mimosagauge {
 namespace {
@@ -120,7 +121,7 @@
   Duration timeout_;
   asio::io_context io_context_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> parser_;
   ErrorCode failure_;
--- a/src/store/store_call.cc
+++ b/src/store/store_call.cc
@@ -114,8 +114,9 @@
         if (error) {
           return self->HandleFailure(error);
         }
-        self->connection_->stream.socket().set_option(
-            asio::ip::tcp::no_delay(true));
+        asio::ip::tcp::socket& socket = self->connection_->stream.socket();
+        socket.non_blocking(true);
+        socket.set_option(asio::ip::tcp::no_delay(true));
         self->WriteRequest();
       });
 }
@@ -168,7 +169,8 @@
 void StoreCall::HandleAnswer() {
   auto& answer = parser_->get();
   const std::size_t endpoint = connection_->endpoint;
-  if (answer.keep_alive()) {
+  // Bytes behind the answer belong to no call.
+  if (answer.keep_alive() && buffer_.size() == 0) {
     connections_->ReturnIdle(std::move(connection_));
   }
   const StoreDialect& dialect = *connections_->settings().dialect;
--- a/src/store/store_call.h
+++ b/src/store/store_call.h
@@ -56,7 +56,7 @@
   StoreConnectionPtr connection_;
   // Some of the request may have been sent in an attempt; false: nothing was.
   bool maybe_sent_ = false;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   boost::beast::http::request<boost::beast::http::string_body> http_request_;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
--- a/src/store/store_connections.cc
+++ b/src/store/store_connections.cc
@@ -63,11 +63,14 @@
   while (!idle_connections_.empty()) {
     StoreConnectionPtr connection = std::move(idle_connections_.back());
     idle_connections_.pop_back();
-    if (connection->idle_since >= oldest_usable) {
+    if (connection->idle_since < oldest_usable) {
+      // The other connections have been idle for longer.
+      idle_connections_.clear();
+      return nullptr;
+    }
+    if (HasNothingToRead(connection->stream.socket())) {
       return connection;
     }
-    // The other connections have been idle for longer.
-    idle_connections_.clear();
   }
   return nullptr;
 }
--- a/src/store/store_connections.h
+++ b/src/store/store_connections.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/core/error.h"
+#include "mimosagauge/impl/store/http_connection.h"
 #include "mimosagauge/impl/store/store_client.h"
 
 namespace mimosagauge::detail {
--- a/src/store/store_watch_loop.h
+++ b/src/store/store_watch_loop.h
@@ -45,7 +45,7 @@
 
     boost::beast::tcp_stream stream;
     std::size_t endpoint = 0;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
     boost::beast::http::request<boost::beast::http::string_body> request;
     boost::beast::http::response_parser<boost::beast::http::buffer_body> parser;
     std::array<char, kChunkBytes> chunk{};
--- a/tests/support/raw_socket.cc
+++ b/tests/support/raw_socket.cc
@@ -23,18 +23,20 @@
 
 RawSocket::RawSocket(std::uint16_t port) : socket_(io_) {
   socket_.connect({asio::ip::address_v4::loopback(), port});
-  LimitReads();
+  LimitWaits();
 }
 
 RawSocket::RawSocket(asio::ip::tcp::acceptor& acceptor) : socket_(io_) {
   acceptor.accept(socket_);
-  LimitReads();
+  LimitWaits();
 }
 
-void RawSocket::LimitReads() {
+void RawSocket::LimitWaits() {
   const timeval longest{kLongestWait.count(), 0};
   setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &longest,
              sizeof(longest));
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &longest,
+             sizeof(longest));
 }
 
 void RawSocket::Send(std::string_view bytes) {
@@ -42,6 +44,20 @@
   asio::write(socket_, asio::buffer(bytes), ignored);
 }
 
+std::size_t RawSocket::SendRepeatedly(std::string_view filler,
+                                      std::size_t limit) {
+  std::size_t written = 0;
+  while (written < limit) {
+    const auto size = send(socket_.native_handle(), filler.data(),
+                           filler.size(), MSG_NOSIGNAL);
+    if (size <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(size);
+  }
+  return written;
+}
+
 bool RawSocket::ReadSome(std::string& text) {
   std::array<char, 4096> part{};
   const auto size = recv(socket_.native_handle(), part.data(), part.size(), 0);
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -22,6 +22,11 @@
 
   /// \brief Writes; a peer that closed meanwhile is no failure.
   void Send(std::string_view bytes);
+  /// \brief Writes `filler` again and again until the peer closes or stops
+  /// reading, or `limit` bytes were written.
+  /// \returns The bytes written.
+  [[nodiscard]] std::size_t SendRepeatedly(std::string_view filler,
+                                           std::size_t limit);
   /// \returns All bytes until the peer closes or resets.
   [[nodiscard]] std::string ReadAll();
   /// \returns Bytes up to and including `end`, or all until the peer closes.
@@ -32,7 +37,7 @@
   void Reset();
 
  private:
-  void LimitReads();
+  void LimitWaits();
   [[nodiscard]] bool ReadSome(std::string& text);
 
   boost::asio::io_context io_;
--- a/tests/unit/store_client_faults_test.cc
+++ b/tests/unit/store_client_faults_test.cc
@@ -1,5 +1,6 @@
 // The store client against the stand-in and its faults.
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -11,6 +12,7 @@
 #include "mimosagauge/impl/store/base64.h"
 #include "mimosagauge/impl/store/store_client.h"
 #include "tests/support/running_store.h"
+#include "tests/support/upstream_rig.h"
 #include "tests/support/wait.h"
 
 namespace mimosagauge {
@@ -235,5 +237,154 @@
   client.Run([&gap] { return gap; });
 }
 
+constexpr const char* kChunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kEmptyRange =
+    "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n"
+    R"({"header":{"revision":"1"}})";
+
+// Takes a call, sends `begin` and then `filler` without end.
+[[nodiscard]] testing::Script Endless(std::string begin,
+                                      const std::string& filler,
+                                      std::atomic<std::size_t>& taken) {
+  std::string repeated;
+  while (repeated.size() < 16UL * 1024) {
+    repeated += filler;
+  }
+  return [begin = std::move(begin), repeated,
+          &taken](testing::RawSocket& connection) {
+    (void)connection.ReadUntil("\r\n\r\n");
+    connection.Send(begin);
+    taken = connection.SendRepeatedly(repeated, 64UL * 1024 * 1024);
+  };
+}
+
+[[nodiscard]] testing::Script AnsweringCall(std::string answer) {
+  return [answer = std::move(answer)](testing::RawSocket& connection) {
+    (void)connection.ReadUntil("\r\n\r\n");
+    connection.Send(answer);
+    (void)connection.ReadAll();
+  };
+}
+
+struct EndlessAnswer {
+  const char* what;
+  std::string begin;
+  std::string filler;
+};
+
+[[nodiscard]] EndlessAnswer GenerateEndlessAnswer() {
+  return GENERATE(values<EndlessAnswer>({
+      {"one header line", "HTTP/1.1 200 OK\r\nX-Long: ", "a"},
+      {"header lines", "HTTP/1.1 200 OK\r\n", "X-More: a\r\n"},
+      {"no HTTP", "", "garbage\r\n"},
+      {"a chunk extension", std::string(kChunked) + "2;x=", "a"},
+      {"one trailer line",
+       std::string(kChunked) + "2\r\n{}\r\n0\r\nX-T: ", "a"},
+  }));
+}
+
+// The sockets of both sides hold some of what the client no longer reads.
+constexpr std::size_t kMostTaken = 24UL * 1024 * 1024;
+
+TEST_CASE("a read leaves an answer of the store that never ends") {
+  const EndlessAnswer one = GenerateEndlessAnswer();
+  CAPTURE(one.what);
+  std::atomic<std::size_t> taken{0};
+  testing::ScriptedUpstream store(
+      {Endless(one.begin, one.filler, taken), AnsweringCall(kEmptyRange)});
+  {
+    Client client({{"127.0.0.1", store.port()}});
+    const auto read = client.Get("k");
+    REQUIRE(read);
+    CHECK(read.value().entries.empty());
+  }
+  CHECK(taken < kMostTaken);
+}
+
+TEST_CASE("a write whose answer never ends has an unknown outcome") {
+  const EndlessAnswer one = GenerateEndlessAnswer();
+  CAPTURE(one.what);
+  std::atomic<std::size_t> taken{0};
+  testing::ScriptedUpstream store({Endless(one.begin, one.filler, taken)});
+  {
+    Client client({{"127.0.0.1", store.port()}});
+    const auto written = client.Swap("k", StoreRevision{}, "v");
+    REQUIRE_FALSE(written);
+    CHECK(written.error().kind == ErrorKind::kUnknownOutcome);
+  }
+  CHECK(taken < kMostTaken);
+}
+
+TEST_CASE("a body of the store that never ends exceeds its limit") {
+  std::atomic<std::size_t> taken{0};
+  testing::ScriptedUpstream store(
+      {Endless("HTTP/1.1 200 OK\r\n\r\n", "a", taken)});
+  {
+    Client client({{"127.0.0.1", store.port()}});
+    const auto read = client.Get("k");
+    REQUIRE_FALSE(read);
+    CHECK(read.error().kind == ErrorKind::kInvalidInput);
+  }
+  CHECK(taken < kMostTaken);
+}
+
+TEST_CASE("a watch leaves an answer of the store that never ends") {
+  const EndlessAnswer one = GenerateEndlessAnswer();
+  CAPTURE(one.what);
+  const std::string update =
+      R"({"result":{"header":{"revision":"1"},"created":true}})"
+      "\n";
+  std::atomic<std::size_t> taken{0};
+  testing::ScriptedUpstream store(
+      {Endless(one.begin, one.filler, taken),
+       AnsweringCall("HTTP/1.1 200 OK\r\n\r\n" + update)});
+  {
+    Client client({{"127.0.0.1", store.port()}});
+    bool opened = false;
+    const StoreWatch watch = client.client().Watch(
+        {"k"}, StoreRevision{}, [&opened](const StoreWatchUpdate& told) {
+          opened = opened || told.created;
+        });
+    client.Run([&opened] { return opened; });
+  }
+  CHECK(taken < kMostTaken);
+}
+
+// The store has no ids by which a second copy could be told from an answer, so
+// a connection on which anything follows an answer is closed.
+TEST_CASE("a second copy of an answer of the store reaches no other call") {
+  const std::string first =
+      R"({"header":{"revision":"1"},"kvs":[{"key":"aw==","value":"b2xk",)"
+      R"("create_revision":"1","mod_revision":"1"}]})";
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(first.size()) +
+      "\r\n\r\n" + first;
+  const bool at_once = GENERATE(true, false);
+  CAPTURE(at_once);
+  std::atomic<bool> answered{false};
+  std::atomic<bool> copied{at_once};
+  testing::ScriptedUpstream store({
+      [&](testing::RawSocket& connection) {
+        (void)connection.ReadUntil("\r\n\r\n");
+        connection.Send(at_once ? answer + answer : answer);
+        if (!at_once) {
+          (void)testing::WaitUntil([&answered] { return answered.load(); });
+          connection.Send(answer);
+          copied = true;
+        }
+        (void)connection.ReadAll();
+      },
+      AnsweringCall(kEmptyRange),
+  });
+  Client client({{"127.0.0.1", store.port()}});
+  CHECK(ValueOf(client.Get("k")) == "old");
+  answered = true;
+  REQUIRE(testing::WaitUntil([&copied] { return copied.load(); }));
+  const auto second = client.Get("k");
+  REQUIRE(second);
+  CHECK(second.value().entries.empty());
+}
+
 }  // namespace
 }  // namespace mimosagauge
--- a/tests/unit/upstream_run_state_test.cc
+++ b/tests/unit/upstream_run_state_test.cc
@@ -2,188 +2,19 @@
 // the connection can fail.
 
 #include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address_v4.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
-#include <functional>
-#include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
-#include <thread>
-#include <utility>
 #include <variant>
 #include <vector>
 
-#include "tests/support/pass_through.h"
 #include "tests/support/raw_socket.h"
+#include "tests/support/upstream_rig.h"
 #include "tests/support/wait.h"
 
 namespace mimosagauge::testing {
 namespace {
 
-using Script = std::function<void(RawSocket& connection)>;
-
-// An upstream that plays one script for each connection, in order.
-class ScriptedUpstream {
- public:
-  explicit ScriptedUpstream(std::vector<Script> scripts)
-      : acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
-        port_(acceptor_.local_endpoint().port()),
-        thread_([this, scripts = std::move(scripts)] { Play(scripts); }) {}
-  ~ScriptedUpstream() { thread_.join(); }
-  ScriptedUpstream(const ScriptedUpstream&) = delete;
-  ScriptedUpstream& operator=(const ScriptedUpstream&) = delete;
-
-  [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
-
- private:
-  void Play(const std::vector<Script>& scripts) {
-    for (const Script& script : scripts) {
-      RawSocket connection(acceptor_);
-      script(connection);
-    }
-    acceptor_.close();
-  }
-
-  boost::asio::io_context io_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  std::uint16_t port_;
-  std::thread thread_;
-};
-
-// The duty with one upstream; collects what it says.
-class UpstreamRig {
- public:
-  UpstreamRig(std::uint16_t port, UpstreamKind kind)
-      : settings_(MakeSettings(port, kind)),
-        events_(upstreams_.io(), decisions_.io(), kRing),
-        effects_(decisions_.io(), upstreams_.io(), kRing),
-        duty_(upstreams_.io(), settings_, events_) {
-    events_.set_handler([this](Event&& event) {
-      const std::lock_guard lock(mutex_);
-      seen_.push_back(std::move(event));
-    });
-    effects_.set_handler(
-        [this](UpstreamEffect&& effect) { duty_.Handle(std::move(effect)); });
-    duty_.Start();
-    upstreams_.Start();
-    decisions_.Start();
-  }
-  ~UpstreamRig() {
-    upstreams_.Run([this] { duty_.Stop(); });
-    upstreams_.Join();
-    decisions_.Join();
-  }
-  UpstreamRig(const UpstreamRig&) = delete;
-  UpstreamRig& operator=(const UpstreamRig&) = delete;
-
-  void Post(UpstreamEffect effect) {
-    decisions_.Run([&] { effects_.Post(std::move(effect)); });
-  }
-
-  // Starts an attempt and waits for its last event.
-  Event Run(bool stream = false) {
-    Begin(stream);
-    REQUIRE(WaitUntil([this] { return Last().has_value(); }));
-    return *Last();
-  }
-  void Begin(bool stream) {
-    auto head = std::make_shared<RequestHead>();
-    head->id = RequestId{"r"};
-    head->method = "POST";
-    head->target = "/x";
-    head->stream = stream;
-    StartUpstreamAttempt start;
-    start.attempt = ++attempt_number_;
-    start.upstream = UpstreamId{"u"};
-    start.head = head;
-    start.body = std::make_shared<const std::string>("body");
-    start.remaining = std::chrono::seconds(30);
-    start.credit = Kibibytes(16);
-    attempt_ = start.attempt;
-    Post(std::move(start));
-  }
-
-  [[nodiscard]] AttemptNumber attempt() const { return attempt_; }
-  [[nodiscard]] std::vector<Event> seen() const {
-    const std::lock_guard lock(mutex_);
-    return seen_;
-  }
-
- private:
-  struct Counter {
-    std::uint64_t value = 0;
-    AttemptNumber operator++() { return AttemptNumber{++value}; }
-  };
-  static constexpr std::size_t kRing = 64;
-
-  [[nodiscard]] static Settings MakeSettings(std::uint16_t port,
-                                             UpstreamKind kind) {
-    Settings settings;
-    settings.limits.silence = std::chrono::milliseconds(300);
-    UpstreamSettings upstream;
-    upstream.id = UpstreamId{"u"};
-    upstream.kind = kind;
-    upstream.endpoint = {"127.0.0.1", port};
-    settings.upstreams = {upstream};
-    return settings;
-  }
-
-  // The event that ended the current attempt.
-  [[nodiscard]] std::optional<Event> Last() const {
-    const std::lock_guard lock(mutex_);
-    for (const Event& event : seen_) {
-      const auto* ended = std::get_if<AttemptEnded>(&event);
-      const auto* failed = std::get_if<AttemptFailed>(&event);
-      if ((ended != nullptr && ended->attempt == attempt_) ||
-          (failed != nullptr && failed->attempt == attempt_)) {
-        return event;
-      }
-    }
-    return std::nullopt;
-  }
-
-  const Settings settings_;
-  LoopThread upstreams_;
-  LoopThread decisions_;
-  Mailbox<Event> events_;
-  Mailbox<UpstreamEffect> effects_;
-  UpstreamDuty duty_;
-  Counter attempt_number_;
-  AttemptNumber attempt_;
-  mutable std::mutex mutex_;
-  std::vector<Event> seen_;
-};
-
-[[nodiscard]] std::optional<RunState> FailedAs(const Event& event) {
-  const auto* failed = std::get_if<AttemptFailed>(&event);
-  return failed == nullptr ? std::nullopt : std::optional(failed->run);
-}
-
-void TakeRequest(RawSocket& connection) {
-  (void)connection.ReadUntil("\r\n\r\nbody");
-}
-
-// Takes the request, sends `answer` and closes.
-[[nodiscard]] Script Answering(std::string answer) {
-  return [answer = std::move(answer)](RawSocket& connection) {
-    TakeRequest(connection);
-    connection.Send(answer);
-    connection.Close();
-  };
-}
-
-// Takes the request, sends `answer` and waits for the gateway to give up.
-[[nodiscard]] Script Silent(std::string answer) {
-  return [answer = std::move(answer)](RawSocket& connection) {
-    TakeRequest(connection);
-    connection.Send(answer);
-    (void)connection.ReadAll();
-  };
-}
-
 constexpr const char* kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 constexpr const char* kChunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
