--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -3,10 +3,17 @@
 
 #include <signal.h>
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "tests/support/cluster.h"
+#include "tests/support/wait.h"
 
 namespace mimosagauge {
 namespace {
@@ -80,5 +87,88 @@
   CHECK(exit_code == 0);
 }
 
+// Callers that send one request after the other, each on a new connection, to
+// an instance until it is gone.
+class SteadyCallers {
+ public:
+  SteadyCallers(const Endpoint& entry, std::size_t count) {
+    for (std::size_t caller = 0; caller < count; ++caller) {
+      threads_.emplace_back([this, entry, caller] { Send(entry, caller); });
+    }
+  }
+  ~SteadyCallers() { Stop(); }
+  SteadyCallers(const SteadyCallers&) = delete;
+  SteadyCallers& operator=(const SteadyCallers&) = delete;
+
+  void Stop() {
+    stopped_ = true;
+    for (std::thread& thread : threads_) {
+      if (thread.joinable()) {
+        thread.join();
+      }
+    }
+  }
+  /// \returns The paths whose answers came back whole.
+  [[nodiscard]] std::set<std::string> answered() const {
+    const std::lock_guard lock(mutex_);
+    return answered_;
+  }
+
+ private:
+  void Send(const Endpoint& entry, std::size_t caller) {
+    for (int sent = 0; !stopped_; ++sent) {
+      const std::string path =
+          "/of-" + std::to_string(caller) + "-" + std::to_string(sent);
+      const HttpReply reply = Fetch(entry, testing::DeskRequest("POST", path));
+      if (reply.whole && reply.status >= 200 && reply.status < 300) {
+        const std::lock_guard lock(mutex_);
+        answered_.insert(path);
+      }
+    }
+  }
+
+  std::atomic<bool> stopped_{false};
+  mutable std::mutex mutex_;
+  std::set<std::string> answered_;
+  std::vector<std::thread> threads_;
+};
+
+// Requests that an instance has accepted when it is told to stop, and those
+// that it accepts until it is gone.
+TEST_CASE("a planned stop under load cuts off no request that was passed on") {
+  Cluster cluster(WithRules());
+  testing::HttpRequest faults;
+  faults.method = "POST";
+  faults.target = "/standin/faults";
+  faults.body = R"({"delay_ms":40})";
+  for (const std::size_t region : {0, 1}) {
+    REQUIRE(Fetch(cluster.plain_service(region, 0).entry, faults).status < 300);
+  }
+  constexpr std::size_t kCallers = 6;
+  constexpr std::size_t kBeforeStop = 60;
+  SteadyCallers callers(cluster.instance(0, 0).entry, kCallers);
+  REQUIRE(testing::WaitUntil(
+      [&callers] { return callers.answered().size() >= kBeforeStop; }));
+  cluster.instance(0, 0).process->Signal(SIGTERM);
+  const auto exit_code = cluster.instance(0, 0).process->WaitExit();
+  callers.Stop();
+  INFO(cluster.Outputs());
+  CHECK(exit_code == 0);
+  const std::set<std::string> answered = callers.answered();
+  std::size_t passed_on = 0;
+  for (const std::size_t region : {0, 1}) {
+    testing::HttpRequest log;
+    log.target = "/standin/log";
+    const auto entries = nlohmann::json::parse(
+        Fetch(cluster.plain_service(region, 0).entry, log).body);
+    for (const auto& entry : entries) {
+      CAPTURE(entry.dump());
+      CHECK(answered.contains(entry.at("target").get<std::string>()));
+      ++passed_on;
+    }
+  }
+  CHECK(passed_on >= kBeforeStop);
+}
+
 }  // namespace
 }  // namespace mimosagauge
