limits.silence: the reference and the keys say the same

Cause: the page was changed and the table of keys in the program was not; the test "the settings reference lists the keys that the code reads" failed on it.

--- a/src/settings/settings_keys.cc
+++ b/src/settings/settings_keys.cc
@@ -129,7 +129,8 @@
     {"limits.default_due", "time", "1min",
      "until an answer is due where neither rule nor caller says"},
     {"limits.silence", "time", "10s",
-     "until an upstream that says nothing is given up"},
+     "until an upstream that says nothing is given up; once the answer is due, "
+     "also one whose answer makes no progress (an event, or 1 KiB)"},
     {"limits.drain", "time", "30s",
      "for requests in progress at a graceful shutdown"},
     {"limits.leave_notice", "time", "3s",
