--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -38,6 +38,20 @@
   return table;
 }
 
+// `engine-0` at port 80 and `engine-1` at port 81, which copy from each other.
+[[nodiscard]] UpstreamTable CopyingEngines(double copy_ms_per_token) {
+  UpstreamTable table;
+  for (const char* id : {"engine-0", "engine-1"}) {
+    UpstreamRecord record = Engine(id);
+    record.config.endpoint = {
+        "10.1.64.1", id[7] == '0' ? std::uint16_t{80} : std::uint16_t{81}};
+    UpdateUpstream(table, record,
+                   {UpstreamKind::kEngine, 128, 245000, 4.5, copy_ms_per_token},
+                   kStart);
+  }
+  return table;
+}
+
 [[nodiscard]] Prompt Review(std::uint64_t script) {
   return {17020, 120, {{script, 13300}, {script + 1000, 3720}}};
 }
@@ -107,16 +121,7 @@
       {0, false, false},    // These engines do not copy.
   }));
   CAPTURE(one.copy_ms_per_token, one.keeper_leaves);
-  UpstreamTable table;
-  for (const char* id : {"engine-0", "engine-1"}) {
-    UpstreamRecord record = Engine(id);
-    record.config.endpoint = {
-        "10.1.64.1", id[7] == '0' ? std::uint16_t{80} : std::uint16_t{81}};
-    UpdateUpstream(
-        table, record,
-        {UpstreamKind::kEngine, 128, 245000, 4.5, one.copy_ms_per_token},
-        kStart);
-  }
+  UpstreamTable table = CopyingEngines(one.copy_ms_per_token);
   UpstreamState* keeper = FindUpstream(table, UpstreamId{"engine-0"});
   Touch(keeper->cache, Review(7));
   keeper->leaving = one.keeper_leaves;
@@ -176,14 +181,7 @@
 }
 
 TEST_CASE("the second part is copied to an engine that has only the head") {
-  UpstreamTable table;
-  for (const char* id : {"engine-0", "engine-1"}) {
-    UpstreamRecord record = Engine(id);
-    record.config.endpoint = {
-        "10.1.64.1", id[7] == '0' ? std::uint16_t{80} : std::uint16_t{81}};
-    UpdateUpstream(table, record,
-                   {UpstreamKind::kEngine, 128, 245000, 4.5, 0.0048}, kStart);
-  }
+  UpstreamTable table = CopyingEngines(0.0048);
   const Prompt prompt = Digest(1, 7);
   UpstreamState* keeper = FindUpstream(table, UpstreamId{"engine-0"});
   Touch(keeper->cache, prompt);
