Log the prompt parts of failed attempts

Without them the log could not tell crashes that requests cause from crashes of other causes. No decision changes.

--- a/src/duties/upstreams/attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -2,6 +2,7 @@
 
 #include "mimosagauge/impl/duties/upstreams/attempt.h"
 
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -13,6 +14,7 @@
 #include <boost/beast/http/error.hpp>
 #include <limits>
 #include <utility>
+#include <vector>
 
 #include "mimosagauge/impl/core/log_catalogue.h"
 #include "mimosagauge/impl/duties/common/http_fields.h"
@@ -62,6 +64,16 @@
              sizeof(milliseconds));
 }
 
+// The ids of the first shared parts of the prompt, in hexadecimal.
+[[nodiscard]] std::string SharedPartsText(const Prompt& prompt) {
+  constexpr std::size_t kMaxParts = 8;
+  std::vector<std::string> ids;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size() && i < kMaxParts; ++i) {
+    ids.push_back(fmt::format("{:x}", prompt.parts[i].id));
+  }
+  return fmt::format("{}", fmt::join(ids, ","));
+}
+
 [[nodiscard]] std::int64_t ToCredit(Bytes bytes) noexcept {
   constexpr std::uint64_t kMaxCredit = std::numeric_limits<std::int32_t>::max();
   return static_cast<std::int64_t>(std::min(bytes.count(), kMaxCredit));
@@ -543,10 +555,12 @@
     return;
   }
   phase_ = Phase::kFinished;
-  Log(log_events::kAttemptFailed, {{"upstream", start_effect_.upstream.value()},
-                                   {"request", start_effect_.head->id.value()},
-                                   {"run", std::string(ToString(run))},
-                                   {"error", message}});
+  Log(log_events::kAttemptFailed,
+      {{"upstream", start_effect_.upstream.value()},
+       {"request", start_effect_.head->id.value()},
+       {"run", std::string(ToString(run))},
+       {"parts", SharedPartsText(start_effect_.head->prompt)},
+       {"error", message}});
   server_.Post(AttemptFailed{start_effect_.attempt,
                              run,
                              {kind, std::move(message), std::move(remedy)},
