Remove the records of poison requests, which were never joined

The module named a suspect by account and whole content, held answers back for 3 s and ran suspects alone. Requests that share only a part of their prompt are strangers to it, and sound requests with the same content would wait.

--- a/include/mimosagauge/impl/wire/once_codec.h
+++ b/include/mimosagauge/impl/wire/once_codec.h
@@ -1,4 +1,4 @@
-// Bytes of claims, hand-overs and crash records. Decoding checks them whole.
+// Bytes of claims and hand-overs. Decoding checks them whole.
 
 #ifndef MIMOSAGAUGE_IMPL_WIRE_ONCE_CODEC_H_
 #define MIMOSAGAUGE_IMPL_WIRE_ONCE_CODEC_H_
@@ -9,7 +9,6 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/decisions/once/claim.h"
 #include "mimosagauge/impl/decisions/once/handover.h"
-#include "mimosagauge/impl/decisions/poison.h"
 
 namespace mimosagauge {
 
@@ -25,9 +24,6 @@
 [[nodiscard]] std::string EncodeHandover(const HandoverChunk& chunk);
 [[nodiscard]] Result<HandoverChunk> DecodeHandover(std::string_view bytes);
 
-[[nodiscard]] std::string EncodeCrash(const CrashRecord& record);
-[[nodiscard]] Result<CrashRecord> DecodeCrash(std::string_view bytes);
-
 }  // namespace mimosagauge
 
 #endif  // MIMOSAGAUGE_IMPL_WIRE_ONCE_CODEC_H_
--- a/src/wire/once_codec.cc
+++ b/src/wire/once_codec.cc
@@ -1,4 +1,4 @@
-// FlatBuffers of claims, hand-overs and crash records.
+// FlatBuffers of claims and hand-overs.
 
 #include "mimosagauge/impl/wire/once_codec.h"
 
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -176,25 +175,6 @@
   return read;
 }
 
-std::vector<wire::Print> WriteSet(const std::set<SuspectFingerprint>& prints) {
-  std::vector<wire::Print> written;
-  written.reserve(prints.size());
-  for (const SuspectFingerprint print : prints) {
-    written.push_back(PrintOf(print));
-  }
-  return written;
-}
-
-std::set<SuspectFingerprint> ReadSet(const Vector<const wire::Print*>* prints) {
-  std::set<SuspectFingerprint> read;
-  if (prints != nullptr) {
-    for (const wire::Print* print : *prints) {
-      read.insert(Read<SuspectFingerprintTag>(*print));
-    }
-  }
-  return read;
-}
-
 }  // namespace
 
 std::string EncodeSlot(const SlotValue& value) {
@@ -282,32 +262,4 @@
   return chunk;
 }
 
-std::string EncodeCrash(const CrashRecord& record) {
-  FlatBufferBuilder builder;
-  const auto reporter = Write(builder, record.id.reporter);
-  const auto suspects = WriteSet(record.suspects);
-  const auto cleared = WriteSet(record.cleared);
-  return Finish(builder, wire::CreateCrashDirect(
-                             builder, reporter, record.id.number,
-                             record.upstream.value().c_str(), &suspects,
-                             &cleared, record.truncated, record.age.count())
-                             .Union());
-}
-
-Result<CrashRecord> DecodeCrash(std::string_view bytes) {
-  const std::string aligned(bytes);
-  const auto* crash = Verified<wire::Crash>(aligned);
-  if (crash == nullptr) {
-    return Invalid("a crash record");
-  }
-  CrashRecord record;
-  record.id = {ReadOwner(*crash->reporter()), crash->number()};
-  record.upstream = UpstreamId(crash->upstream()->str());
-  record.suspects = ReadSet(crash->suspects());
-  record.cleared = ReadSet(crash->cleared());
-  record.truncated = crash->truncated();
-  record.age = Duration(crash->age_ns());
-  return record;
-}
-
 }  // namespace mimosagauge
--- a/tests/unit/once_codec_test.cc
+++ b/tests/unit/once_codec_test.cc
@@ -1,4 +1,4 @@
-// Claims, hand-overs and crash records survive encoding, and damaged bytes
+// Claims and hand-overs survive encoding, and damaged bytes
 // are refused.
 
 #include "mimosagauge/impl/wire/once_codec.h"
@@ -48,12 +48,6 @@
   return chunk;
 }
 
-CrashRecord Crash() {
-  return {
-      {Owner(3), 4}, UpstreamId("roteiro-1"), {{1, 1}, {2, 2}}, {{1, 1}}, true,
-      seconds(3)};
-}
-
 TEST_CASE("a slot of claims is read back") {
   const SlotValue read = DecodeSlot(EncodeSlot(Slot())).value();
   REQUIRE(read.buckets.size() == 2);
@@ -90,23 +84,12 @@
   CHECK(read.records[2].state == KeyState::kUnknown);
 }
 
-TEST_CASE("a crash record is read back") {
-  const CrashRecord read = DecodeCrash(EncodeCrash(Crash())).value();
-  CHECK(read.id == Crash().id);
-  CHECK(read.upstream == Crash().upstream);
-  CHECK(read.suspects == Crash().suspects);
-  CHECK(read.cleared == Crash().cleared);
-  CHECK(read.truncated);
-  CHECK(read.age == seconds(3));
-}
-
 TEST_CASE("bytes that do not hold are refused") {
   const auto bytes = GENERATE(values<std::string>(
       {"", "x", std::string(64, '\xff'), std::string(64, '\0')}));
   CHECK(DecodeSlot(bytes).has_error());
   CHECK(DecodeClaim(bytes).has_error());
   CHECK(DecodeHandover(bytes).has_error());
-  CHECK(DecodeCrash(bytes).has_error());
 }
 
 TEST_CASE("no shortened bytes are read beyond their end") {
