Refuse requests with a prompt part that crashes upstreams

Cause: a crash counted against its upstream alone. Nothing related crashes to what the lost requests have in common, so the next request with the part went to the next engine.

Change: each request that a crash cut off before any of its answer's body is evidence against its content, the shared parts of its prompt and the request as a whole; those whose status had been received are the only suspects if there are such. A body clears the content of all crashes before it. Content with two crashes after the begin of the answer, or three in all, and none cleared, is refused for ten minutes, twice as long the next time; of parts that are always together, the later one. Reports travel with load digests: at once from the instance that saw the crash, again within a region, and the poison known with each digest. 256 crashes of 64 suspects and 256 refusals at most; no store call.

--- a/include/mimosagauge/impl/core/ids.h
+++ b/include/mimosagauge/impl/core/ids.h
@@ -31,6 +31,9 @@
 using Revision = StrongNumber<struct RevisionTag>;
 /// Start of an instance or an upstream; a later start has a greater number.
 using Incarnation = StrongNumber<struct IncarnationTag>;
+/// A hash of an upstream's id, which identifies the upstream in digests because
+/// it is shorter than the id.
+using UpstreamHash = StrongNumber<struct UpstreamHashTag>;
 /// Carried by orders to engines; a greater one supersedes.
 using FencingNumber = StrongNumber<struct FencingNumberTag>;
 /// A change to the rules, as its author's process numbers it.
--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -89,6 +89,10 @@
 inline constexpr LogEvent kUpstreamEjected{
     8001, LogLevel::kWarning, "upstream gets no new work for a while",
     "look at the upstream; it failed several times in a row"};
+inline constexpr LogEvent kPoisonFound{
+    8002, LogLevel::kWarning,
+    "content crashes upstreams; requests with it are refused for a while",
+    "find its requests in entries 3001 and 8102; the refusal ends by itself"};
 inline constexpr LogEvent kRequestAnswered{8101, LogLevel::kInfo,
                                            "a request was answered whole", ""};
 inline constexpr LogEvent kRequestNotServed{
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -23,6 +23,7 @@
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/once/key_table.h"
 #include "mimosagauge/impl/decisions/outcome.h"
+#include "mimosagauge/impl/decisions/poison_content.h"
 #include "mimosagauge/impl/decisions/retry_budget.h"
 #include "mimosagauge/impl/decisions/routes.h"
 #include "mimosagauge/impl/decisions/rules_spread.h"
@@ -36,11 +37,12 @@
   AttemptNumber number;
   std::variant<UpstreamId, InstanceId> target;
   TimePoint started{};
-  LatencyEstimate expected;  ///< Estimate when the attempt was started.
-  double prompt_tokens = 0;  ///< Prompt tokens that are counted as unread
-                             ///< at the upstream until the answer begins.
-  bool answered = false;     ///< The prompt is no longer counted as unread.
+  LatencyEstimate expected{};  ///< Estimate when the attempt was started.
+  double prompt_tokens = 0;    ///< Prompt tokens that are counted as unread
+                               ///< at the upstream until the answer begins.
+  bool answered = false;       ///< The prompt is no longer counted as unread.
   bool has_error_status = false;  ///< The answer's status is 500 or higher.
+  bool body_began = false;        ///< Part of the answer's body was received.
 };
 
 /// \brief State of a request that has an idempotency key.
@@ -150,6 +152,7 @@
   KeyTable keys;
   ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
+  PoisonTable poison;
   AttemptNumber last_attempt;
   std::optional<TimePoint> drain_started;  ///< Empty: not draining.
   bool refusing_requests = false;  ///< The leave notice is over, and new
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -160,6 +160,27 @@
 /// \brief Sends load digests and offers to other instances when they are due.
 void SendLoadDigests(StepContext& context);
 
+/// \brief Refuses the request, or aborts its answer, if it has poison content.
+/// \returns Whether it was refused; the record is then no longer valid.
+bool RefuseIfPoison(StepContext& context, RequestRecord& record);
+
+/// \brief Records the request as evidence if its running attempt failed by the
+/// loss of its upstream.
+void CheckForCrash(StepContext& context, const RequestRecord& record,
+                   const AttemptFailed& event);
+
+/// \brief Marks that the running attempt's answer has a body, or is complete
+/// without one, which shows that its content does not crash the upstream.
+void MarkBodyBegun(StepContext& context, RequestRecord& record);
+
+/// \brief Adds another instance's news about crashes and poison content.
+void ApplyPoisonNews(StepContext& context, const PeerState& from,
+                     const PoisonNews& news);
+
+/// rief Searches for poison content when that is due, and refuses the requests
+/// with it of whose answers no body was received.
+void SearchForPoison(StepContext& context);
+
 /// \brief An instance of another region and the estimate for a request there.
 struct RemoteChoice {
   const PeerConfig* peer = nullptr;  ///< Null: no instance may serve it.
--- a/include/mimosagauge/impl/decisions/load_digest.h
+++ b/include/mimosagauge/impl/decisions/load_digest.h
@@ -11,15 +11,12 @@
 
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/time.h"
+#include "mimosagauge/impl/decisions/poison_news.h"
 #include "mimosagauge/impl/decisions/request.h"
 #include "mimosagauge/impl/decisions/upstream_health.h"
 
 namespace mimosagauge {
 
-/// \brief A hash of an upstream's id, which identifies the upstream in digests
-/// because it is shorter than the id.
-using UpstreamHash = StrongNumber<struct UpstreamHashTag>;
-
 /// \returns The hash of the upstream's id; the same on every instance.
 [[nodiscard]] UpstreamHash HashUpstreamId(const UpstreamId& upstream) noexcept;
 
@@ -71,6 +68,8 @@
   std::vector<ServiceOffer> offers;
   /// Sent to instances of its region.
   std::vector<UpstreamOutcomes> outcomes{};
+  /// Sent to instances of all regions.
+  PoisonNews poison{};
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/problems.h
+++ b/include/mimosagauge/impl/decisions/problems.h
@@ -47,6 +47,11 @@
 /// The instance is shutting down.
 [[nodiscard]] Problem Stopping(RunState run);
 
+/// \returns The refusal of a request with content that crashes upstreams.
+/// \param remaining Time until requests with it are accepted again.
+[[nodiscard]] Problem PoisonRefused(std::string detail, RunState run,
+                                    Duration remaining);
+
 }  // namespace mimosagauge
 
 #endif  // MIMOSAGAUGE_IMPL_DECISIONS_PROBLEMS_H_
--- a/include/mimosagauge/impl/wire/load_generated.h
+++ b/include/mimosagauge/impl/wire/load_generated.h
@@ -25,6 +25,15 @@
 struct ServiceOffer;
 struct ServiceOfferBuilder;
 
+struct SuspectContent;
+
+struct CrashReport;
+struct CrashReportBuilder;
+
+struct Clearance;
+
+struct PoisonReport;
+
 struct LoadDigest;
 struct LoadDigestBuilder;
 
@@ -146,6 +155,128 @@
   using type = UpstreamOutcomes;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SuspectContent FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint32_t depth_;
+  uint8_t begun_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  SuspectContent()
+      : id_(0),
+        depth_(0),
+        begun_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  SuspectContent(uint64_t _id, uint32_t _depth, bool _begun)
+      : id_(flatbuffers::EndianScalar(_id)),
+        depth_(flatbuffers::EndianScalar(_depth)),
+        begun_(flatbuffers::EndianScalar(static_cast<uint8_t>(_begun))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint32_t depth() const {
+    return flatbuffers::EndianScalar(depth_);
+  }
+  bool begun() const {
+    return flatbuffers::EndianScalar(begun_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(SuspectContent, 16);
+
+struct SuspectContent::Traits {
+  using type = SuspectContent;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Clearance FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint64_t age_us_;
+
+ public:
+  struct Traits;
+  Clearance()
+      : id_(0),
+        age_us_(0) {
+  }
+  Clearance(uint64_t _id, uint64_t _age_us)
+      : id_(flatbuffers::EndianScalar(_id)),
+        age_us_(flatbuffers::EndianScalar(_age_us)) {
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint64_t age_us() const {
+    return flatbuffers::EndianScalar(age_us_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Clearance, 16);
+
+struct Clearance::Traits {
+  using type = Clearance;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PoisonReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint64_t age_us_;
+  uint64_t refusal_us_;
+  uint64_t remaining_us_;
+  uint32_t crashes_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  PoisonReport()
+      : id_(0),
+        age_us_(0),
+        refusal_us_(0),
+        remaining_us_(0),
+        crashes_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PoisonReport(uint64_t _id, uint64_t _age_us, uint64_t _refusal_us, uint64_t _remaining_us, uint32_t _crashes)
+      : id_(flatbuffers::EndianScalar(_id)),
+        age_us_(flatbuffers::EndianScalar(_age_us)),
+        refusal_us_(flatbuffers::EndianScalar(_refusal_us)),
+        remaining_us_(flatbuffers::EndianScalar(_remaining_us)),
+        crashes_(flatbuffers::EndianScalar(_crashes)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint64_t age_us() const {
+    return flatbuffers::EndianScalar(age_us_);
+  }
+  uint64_t refusal_us() const {
+    return flatbuffers::EndianScalar(refusal_us_);
+  }
+  uint64_t remaining_us() const {
+    return flatbuffers::EndianScalar(remaining_us_);
+  }
+  uint32_t crashes() const {
+    return flatbuffers::EndianScalar(crashes_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PoisonReport, 40);
+
+struct PoisonReport::Traits {
+  using type = PoisonReport;
+};
+
 struct ServiceOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceOfferBuilder Builder;
   struct Traits;
@@ -240,6 +371,99 @@
       reading_percent);
 }
 
+struct CrashReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_INCARNATION = 6,
+    VT_AGE_US = 8,
+    VT_SUSPECTS = 10
+  };
+  uint64_t upstream() const {
+    return GetField<uint64_t>(VT_UPSTREAM, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t age_us() const {
+    return GetField<uint64_t>(VT_AGE_US, 0);
+  }
+  const flatbuffers::Vector<const mimosagauge::wire::SuspectContent *> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::SuspectContent *> *>(VT_SUSPECTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashReportBuilder {
+  typedef CrashReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(uint64_t upstream) {
+    fbb_.AddElement<uint64_t>(CrashReport::VT_UPSTREAM, upstream, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(CrashReport::VT_INCARNATION, incarnation, 0);
+  }
+  void add_age_us(uint64_t age_us) {
+    fbb_.AddElement<uint64_t>(CrashReport::VT_AGE_US, age_us, 0);
+  }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::SuspectContent *>> suspects) {
+    fbb_.AddOffset(CrashReport::VT_SUSPECTS, suspects);
+  }
+  explicit CrashReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashReport> CreateCrashReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t upstream = 0,
+    uint64_t incarnation = 0,
+    uint64_t age_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::SuspectContent *>> suspects = 0) {
+  CrashReportBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_incarnation(incarnation);
+  builder_.add_upstream(upstream);
+  builder_.add_suspects(suspects);
+  return builder_.Finish();
+}
+
+struct CrashReport::Traits {
+  using type = CrashReport;
+  static auto constexpr Create = CreateCrashReport;
+};
+
+inline flatbuffers::Offset<CrashReport> CreateCrashReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t upstream = 0,
+    uint64_t incarnation = 0,
+    uint64_t age_us = 0,
+    const std::vector<mimosagauge::wire::SuspectContent> *suspects = nullptr) {
+  auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<mimosagauge::wire::SuspectContent>(*suspects) : 0;
+  return mimosagauge::wire::CreateCrashReport(
+      _fbb,
+      upstream,
+      incarnation,
+      age_us,
+      suspects__);
+}
+
 struct LoadDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadDigestBuilder Builder;
   struct Traits;
@@ -248,7 +472,10 @@
     VT_PARTS = 6,
     VT_OFFERS = 8,
     VT_STORE_SEEN = 10,
-    VT_OUTCOMES = 12
+    VT_OUTCOMES = 12,
+    VT_CRASHES = 14,
+    VT_CLEARANCES = 16,
+    VT_POISON = 18
   };
   const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *shares() const {
     return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *>(VT_SHARES);
@@ -265,6 +492,15 @@
   const flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *> *outcomes() const {
     return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *> *>(VT_OUTCOMES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<const mimosagauge::wire::Clearance *> *clearances() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::Clearance *> *>(VT_CLEARANCES);
+  }
+  const flatbuffers::Vector<const mimosagauge::wire::PoisonReport *> *poison() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::PoisonReport *> *>(VT_POISON);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARES) &&
@@ -277,6 +513,13 @@
            VerifyField<uint64_t>(verifier, VT_STORE_SEEN, 8) &&
            VerifyOffset(verifier, VT_OUTCOMES) &&
            verifier.VerifyVector(outcomes()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_CLEARANCES) &&
+           verifier.VerifyVector(clearances()) &&
+           VerifyOffset(verifier, VT_POISON) &&
+           verifier.VerifyVector(poison()) &&
            verifier.EndTable();
   }
 };
@@ -300,6 +543,15 @@
   void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *>> outcomes) {
     fbb_.AddOffset(LoadDigest::VT_OUTCOMES, outcomes);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>>> crashes) {
+    fbb_.AddOffset(LoadDigest::VT_CRASHES, crashes);
+  }
+  void add_clearances(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::Clearance *>> clearances) {
+    fbb_.AddOffset(LoadDigest::VT_CLEARANCES, clearances);
+  }
+  void add_poison(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PoisonReport *>> poison) {
+    fbb_.AddOffset(LoadDigest::VT_POISON, poison);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -317,9 +569,15 @@
     flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PartRead *>> parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>> offers = 0,
     uint64_t store_seen = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *>> outcomes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *>> outcomes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::Clearance *>> clearances = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PoisonReport *>> poison = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_store_seen(store_seen);
+  builder_.add_poison(poison);
+  builder_.add_clearances(clearances);
+  builder_.add_crashes(crashes);
   builder_.add_outcomes(outcomes);
   builder_.add_offers(offers);
   builder_.add_parts(parts);
@@ -338,18 +596,27 @@
     const std::vector<mimosagauge::wire::PartRead> *parts = nullptr,
     const std::vector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>> *offers = nullptr,
     uint64_t store_seen = 0,
-    const std::vector<mimosagauge::wire::UpstreamOutcomes> *outcomes = nullptr) {
+    const std::vector<mimosagauge::wire::UpstreamOutcomes> *outcomes = nullptr,
+    const std::vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>> *crashes = nullptr,
+    const std::vector<mimosagauge::wire::Clearance> *clearances = nullptr,
+    const std::vector<mimosagauge::wire::PoisonReport> *poison = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<mimosagauge::wire::UpstreamShare>(*shares) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PartRead>(*parts) : 0;
   auto offers__ = offers ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>(*offers) : 0;
   auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<mimosagauge::wire::UpstreamOutcomes>(*outcomes) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::CrashReport>>(*crashes) : 0;
+  auto clearances__ = clearances ? _fbb.CreateVectorOfStructs<mimosagauge::wire::Clearance>(*clearances) : 0;
+  auto poison__ = poison ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PoisonReport>(*poison) : 0;
   return mimosagauge::wire::CreateLoadDigest(
       _fbb,
       shares__,
       parts__,
       offers__,
       store_seen,
-      outcomes__);
+      outcomes__,
+      crashes__,
+      clearances__,
+      poison__);
 }
 
 inline const mimosagauge::wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -408,6 +408,7 @@
   // An ejection ends when its time is over, without an event, so requests that
   // wait for any service are tried again on each tick.
   context.gateway.all_services_freed = true;
+  SearchForPoison(context);
   Apply(context, RemoveExpiredKeys(context.gateway.keys, context.now));
   Apply(context, TickClaims(context.gateway.claims, context.now));
   Apply(context, TickRulesGossip(context.gateway.spread, context.now));
@@ -619,6 +620,7 @@
 Gateway MakeGateway(GatewayConfig config, TimePoint now, std::uint64_t seed) {
   Gateway gateway;
   gateway.keys = MakeKeyTable(config.self, now);
+  gateway.poison.self = config.instance;
   gateway.upstreams = MakeUpstreamTable(config.upstreams);
   for (const PeerConfig& peer : config.peers) {
     gateway.peers.emplace_back().config = peer;
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -289,6 +289,7 @@
   if (record == nullptr || record->outcome.phase != AnswerPhase::kAnswering) {
     return;
   }
+  MarkBodyBegun(context, *record);
   if (record->keyed) {
     RecordForResend(context.gateway, *record->keyed, event.data);
   }
@@ -314,6 +315,7 @@
   if (record == nullptr) {
     return;
   }
+  MarkBodyBegun(context, *record);
   const Duration elapsed = context.now - record->running->started;
   const bool has_error_status = record->running->has_error_status;
   FinishAttempt(context, *record, [&](const UpstreamId& id) {
@@ -376,6 +378,7 @@
     RecordRunState(record->outcome, RunState::kUnknown);
   }
   record->last_failure = event.error.message;
+  CheckForCrash(context, *record, event);
   CountRun(*record, event.run);
   FinishAttempt(context, *record, [&](const UpstreamId& id) {
     if (IsOverloadRefusal(event)) {
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -43,11 +43,14 @@
     }
   }
   digest.parts = std::exchange(gateway.parts_read, {});
+  digest.poison = TakeNews(gateway.poison, gateway.poison.news_for_region, now);
   return digest;
 }
 
-[[nodiscard]] LoadDigest MakeOffersDigest(const Gateway& gateway) {
+[[nodiscard]] LoadDigest MakeOffersDigest(Gateway& gateway, TimePoint now) {
   LoadDigest digest;
+  digest.poison =
+      TakeNews(gateway.poison, gateway.poison.news_for_other_regions, now);
   for (const auto& [service, offer] : gateway.own_offers) {
     digest.offers.push_back(offer);
   }
@@ -95,14 +98,17 @@
     gateway.own_offers.emplace(
         service, MakeServiceOffer(gateway.upstreams, service, context.now));
   }
+  // News about crashes come from the instance that saw them alone.
+  const bool has_news = !gateway.poison.news_for_other_regions.news.empty();
   std::shared_ptr<const LoadDigest> digest;
   for (const PeerState& peer : gateway.peers) {
     if (!peer.up || IsInOwnRegion(gateway, peer) ||
-        !IsSenderTo(gateway, peer)) {
+        !(has_news || IsSenderTo(gateway, peer))) {
       continue;
     }
     if (digest == nullptr) {
-      digest = std::make_shared<const LoadDigest>(MakeOffersDigest(gateway));
+      digest = std::make_shared<const LoadDigest>(
+          MakeOffersDigest(gateway, context.now));
     }
     context.effects.emplace_back(ForLinks{SendLoad{peer.config.id, digest}});
   }
@@ -190,6 +196,7 @@
   if (peer == nullptr) {
     return;  // Its next digest is applied once the peer is known.
   }
+  ApplyPoisonNews(context, *peer, event.digest.poison);
   if (IsInOwnRegion(gateway, *peer)) {
     ApplyRegionDigest(context, event.from, event.digest);
     CheckStoreLag(context, event.digest.store_seen);
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -45,8 +45,7 @@
   gateway.last_attempt = gateway.last_attempt.next();
   const AttemptNumber number = gateway.last_attempt;
   gateway.attempts.emplace(number, record.arrival.number);
-  record.running =
-      Attempt{number, std::move(target), context.now, {}, 0, false};
+  record.running = Attempt{number, std::move(target), context.now};
   record.visited.push_back(std::move(place));
   ++record.attempts;
   if (record.attempts > 1) {
@@ -262,6 +261,9 @@
   if (record.verdict.service.empty()) {
     return RefuseOrAbort(context, record, NoService(*record.arrival.head));
   }
+  if (RefuseIfPoison(context, record)) {
+    return;
+  }
   const RegionId& region = gateway.config.region;
   const UpstreamNeed need = NeedOf(record);
   const bool local_allowed = AllowsRegion(record.verdict, region);
--- a/src/decisions/problems.cc
+++ b/src/decisions/problems.cc
@@ -179,4 +179,14 @@
       "the instance is shutting down and accepts no new requests", run);
 }
 
+Problem PoisonRefused(std::string detail, RunState run, Duration remaining) {
+  Problem problem = MakeProblem(
+      kServiceUnavailable,
+      {"poison-content", "Requests with this content have crashed upstreams",
+       "change the prompt; the same content is refused for a limited time"},
+      std::move(detail), run);
+  problem.retry_after = remaining;
+  return problem;
+}
+
 }  // namespace mimosagauge
--- a/src/duties/upstreams/attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -560,6 +560,7 @@
        {"request", start_effect_.head->id.value()},
        {"run", std::string(ToString(run))},
        {"parts", SharedPartsText(start_effect_.head->prompt)},
+       {"events", std::to_string(event_splitter_.events_with_fields())},
        {"error", message}});
   server_.Post(AttemptFailed{start_effect_.attempt,
                              run,
--- a/src/wire/load_codec.cc
+++ b/src/wire/load_codec.cc
@@ -26,6 +26,69 @@
       std::clamp<std::int64_t>(count, 0, UINT32_MAX));
 }
 
+[[nodiscard]] std::uint64_t AgeToWire(Duration age) {
+  const auto count =
+      std::chrono::duration_cast<std::chrono::microseconds>(age).count();
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
+}
+
+// Longer times are those of a faulty sender.
+[[nodiscard]] Duration AgeFromWire(std::uint64_t microseconds) {
+  constexpr std::chrono::microseconds kMax = std::chrono::hours(24);
+  return std::min(
+      kMax, std::chrono::microseconds(
+                static_cast<std::int64_t>(std::min<std::uint64_t>(
+                    microseconds, static_cast<std::uint64_t>(kMax.count())))));
+}
+
+[[nodiscard]] std::vector<Offset<wire::CrashReport>> WriteCrashes(
+    FlatBufferBuilder& builder, const PoisonNews& news) {
+  std::vector<Offset<wire::CrashReport>> crashes;
+  for (const CrashReport& report : news.crashes) {
+    std::vector<wire::SuspectContent> suspects;
+    for (const SuspectContent& suspect : report.suspects) {
+      suspects.emplace_back(suspect.id.value(), suspect.depth, suspect.begun);
+    }
+    crashes.push_back(wire::CreateCrashReport(
+        builder, report.upstream.value(), report.incarnation.value(),
+        AgeToWire(report.age), builder.CreateVectorOfStructs(suspects)));
+  }
+  return crashes;
+}
+
+[[nodiscard]] PoisonNews ReadPoisonNews(const wire::LoadDigest& table) {
+  PoisonNews news;
+  if (table.crashes() != nullptr) {
+    for (const wire::CrashReport* report : *table.crashes()) {
+      CrashReport& crash = news.crashes.emplace_back();
+      crash.upstream = UpstreamHash{report->upstream()};
+      crash.incarnation = Incarnation{report->incarnation()};
+      crash.age = AgeFromWire(report->age_us());
+      if (report->suspects() != nullptr) {
+        for (const wire::SuspectContent* suspect : *report->suspects()) {
+          crash.suspects.push_back(
+              {ContentId{suspect->id()}, suspect->depth(), suspect->begun()});
+        }
+      }
+    }
+  }
+  if (table.clearances() != nullptr) {
+    for (const wire::Clearance* clearance : *table.clearances()) {
+      news.clearances.push_back(
+          {ContentId{clearance->id()}, AgeFromWire(clearance->age_us())});
+    }
+  }
+  if (table.poison() != nullptr) {
+    for (const wire::PoisonReport* report : *table.poison()) {
+      news.poison.push_back(
+          {ContentId{report->id()}, AgeFromWire(report->age_us()),
+           AgeFromWire(report->refusal_us()),
+           AgeFromWire(report->remaining_us()), report->crashes()});
+    }
+  }
+  return news;
+}
+
 }  // namespace
 
 std::string EncodeLoadDigest(const LoadDigest& digest) {
@@ -52,11 +115,26 @@
         builder, service, offer.usable, Microseconds(offer.start),
         static_cast<std::uint8_t>(std::lround(percent))));
   }
+  const std::vector<Offset<wire::CrashReport>> crashes =
+      WriteCrashes(builder, digest.poison);
+  std::vector<wire::Clearance> clearances;
+  for (const Clearance& clearance : digest.poison.clearances) {
+    clearances.emplace_back(clearance.id.value(), AgeToWire(clearance.age));
+  }
+  std::vector<wire::PoisonReport> poison;
+  for (const PoisonReport& report : digest.poison.poison) {
+    poison.emplace_back(report.id.value(), AgeToWire(report.age),
+                        AgeToWire(report.refusal), AgeToWire(report.remaining),
+                        report.crashes);
+  }
   // Empty lists take no bytes.
   using Shares = Offset<flatbuffers::Vector<const wire::UpstreamShare*>>;
   using Parts = Offset<flatbuffers::Vector<const wire::PartRead*>>;
   using Outcomes = Offset<flatbuffers::Vector<const wire::UpstreamOutcomes*>>;
   using Offers = Offset<flatbuffers::Vector<Offset<wire::ServiceOffer>>>;
+  using Crashes = Offset<flatbuffers::Vector<Offset<wire::CrashReport>>>;
+  using Clearances = Offset<flatbuffers::Vector<const wire::Clearance*>>;
+  using Poison = Offset<flatbuffers::Vector<const wire::PoisonReport*>>;
   const Shares share_list =
       shares.empty() ? Shares() : builder.CreateVectorOfStructs(shares);
   const Parts part_list =
@@ -65,9 +143,16 @@
       offers.empty() ? Offers() : builder.CreateVector(offers);
   const Outcomes outcome_list =
       outcomes.empty() ? Outcomes() : builder.CreateVectorOfStructs(outcomes);
-  builder.Finish(wire::CreateLoadDigest(builder, share_list, part_list,
-                                        offer_list, digest.store_seen,
-                                        outcome_list));
+  const Crashes crash_list =
+      crashes.empty() ? Crashes() : builder.CreateVector(crashes);
+  const Clearances clearance_list =
+      clearances.empty() ? Clearances()
+                         : builder.CreateVectorOfStructs(clearances);
+  const Poison poison_list =
+      poison.empty() ? Poison() : builder.CreateVectorOfStructs(poison);
+  builder.Finish(wire::CreateLoadDigest(
+      builder, share_list, part_list, offer_list, digest.store_seen,
+      outcome_list, crash_list, clearance_list, poison_list));
   std::string bytes(kTagBytes, kLoadDigestTag);
   for (std::size_t i = 0; i < builder.GetSize(); ++i) {
     bytes += static_cast<char>(builder.GetBufferPointer()[i]);
@@ -119,6 +204,7 @@
                                offer->reading_percent() / kPercent});
     }
   }
+  digest.poison = ReadPoisonNews(table);
   return digest;
 }
 
