Do not resume a stream that broke off before its first event

A stream that was lost after its status and before its first event is the likeliest cause of its upstream's loss. On routes with two attempts the gateway itself sent it to a second upstream, which crashed too. It now ends with the failure; before the status, and after an event, streams are retried as before. Crashes 50 ms apart are counted each, not 150 ms: the instances of a region see a power loss within a few milliseconds.

--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -166,7 +166,9 @@
 
 /// \brief Records the request as evidence if its running attempt failed by the
 /// loss of its upstream.
-void CheckForCrash(StepContext& context, const RequestRecord& record,
+/// \returns Whether the request is strongly suspected of the loss: its answer
+/// had begun, without a body.
+bool CheckForCrash(StepContext& context, const RequestRecord& record,
                    const AttemptFailed& event);
 
 /// \brief Marks that the running attempt's answer has a body, or is complete
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -378,7 +378,7 @@
     RecordRunState(record->outcome, RunState::kUnknown);
   }
   record->last_failure = event.error.message;
-  CheckForCrash(context, *record, event);
+  const bool suspected = CheckForCrash(context, *record, event);
   CountRun(*record, event.run);
   FinishAttempt(context, *record, [&](const UpstreamId& id) {
     if (IsOverloadRefusal(event)) {
@@ -390,6 +390,12 @@
       Handle(context, UpstreamRemoved{id});
     }
   });
+  if (suspected) {
+    // Another upstream would probably be lost too.
+    return RefuseOrAbort(
+        context, *record,
+        AttemptsFailed(record->last_failure, record->outcome.run));
+  }
   const bool reached_upstream = ReachedUpstream(event);
   RetryOrFail(context, *record, event.run, reached_upstream,
               std::move(event.problem));
--- a/src/decisions/gateway_poison.cc
+++ b/src/decisions/gateway_poison.cc
@@ -92,7 +92,7 @@
   return true;
 }
 
-void CheckForCrash(StepContext& context, const RequestRecord& record,
+bool CheckForCrash(StepContext& context, const RequestRecord& record,
                    const AttemptFailed& event) {
   Gateway& gateway = context.gateway;
   const auto* id = std::get_if<UpstreamId>(&record.running->target);
@@ -100,7 +100,7 @@
                                event.error.kind == ErrorKind::kUnknownOutcome;
   if (id == nullptr || event.run == RunState::kNotRun || !connection_lost ||
       record.running->body_began) {
-    return;
+    return false;
   }
   const UpstreamState* upstream = FindUpstream(gateway.upstreams, *id);
   RecordLostRequest(
@@ -108,6 +108,7 @@
       upstream == nullptr ? Incarnation{} : upstream->config.incarnation,
       *record.arrival.head, record.running->answered, context.now);
   ScheduleNews(gateway, context.now);
+  return record.running->answered;
 }
 
 void MarkBodyBegun(StepContext& context, RequestRecord& record) {
--- a/src/decisions/poison_content.cc
+++ b/src/decisions/poison_content.cc
@@ -23,7 +23,7 @@
 constexpr std::size_t kUnexplainedCrashesOfPoison = 2;
 // Crashes that follow each other faster count as one. A power loss crashes many
 // upstreams at once, whatever they run.
-constexpr Duration kMinCrashInterval = std::chrono::milliseconds(150);
+constexpr Duration kMinCrashInterval = std::chrono::milliseconds(50);
 // Sound answers to other requests since the first of the crashes. Without them,
 // the upstreams crash for another reason than the content of requests.
 constexpr std::uint64_t kMinSoundAnswers = 8;
--- a/tests/unit/poison_parts_test.cc
+++ b/tests/unit/poison_parts_test.cc
@@ -157,6 +157,28 @@
   CHECK(problem->problem.run == RunState::kUnknown);
 }
 
+TEST_CASE("a stream that broke off before its first event is not resumed") {
+  const bool body = GENERATE(false, true);
+  CAPTURE(body);
+  CrashingEngines engines;
+  FleetRequest request = Generation(kPoisonPart, 1);
+  request.path = "/size/1";  // Two attempts, and streams are resumed.
+  const auto [number, effects] = engines.world().Request(request);
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  REQUIRE(start);
+  AnswerHead head;
+  head.status = 200;
+  head.headers = {{"Content-Type", "text/event-stream"}};
+  engines.world().Give(AttemptHeadReceived{start->attempt, head, {}});
+  if (body) {
+    engines.world().Give(
+        AttemptBodyReceived{start->attempt, "id: 1\ndata: x\n\n", "1"});
+  }
+  const auto failed = engines.world().Fail(start->attempt, RunState::kRan);
+  CHECK(Find<StartUpstreamAttempt>(failed).has_value() == body);
+  CHECK(Find<AbortAnswer>(failed).has_value() != body);
+}
+
 // Steps of a table test.
 struct Step {
   enum class Kind : std::uint8_t { kCrash, kSound, kOthers, kWait };
