Read and log the rate limits that upstreams name

The platform's upstreams name in Server-Limit the requests per second that they accept from all instances together. The field was not read. It is now a part of the events of answers and refusals, and entry 8205 tells when an upstream named, changed or ended a limit. No decision changes.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -109,6 +109,9 @@
     ""};
 inline constexpr LogEvent kUpstreamLearned{
     8202, LogLevel::kInfo, "an upstream appeared or changed its state", ""};
+inline constexpr LogEvent kUpstreamLimit{
+    8205, LogLevel::kInfo, "an upstream named, changed or ended a rate limit",
+    "look at the upstream; it takes fewer requests than usual"};
 inline constexpr LogEvent kUpstreamGone{8203, LogLevel::kInfo,
                                         "an upstream is gone", ""};
 inline constexpr LogEvent kZoneEvacuated{
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -52,6 +52,9 @@
   AnswerHead head;
   std::optional<LoadReport> load{};  ///< Load that the upstream reported;
                                      ///< empty: none was reported.
+  /// Requests per second that the upstream accepts from all instances together;
+  /// empty: it names no limit.
+  std::optional<double> rate_limit{};
 };
 
 /// \brief Part of an answer's body was received.
@@ -77,6 +80,9 @@
                                    ///< with; empty: there is none.
   /// Whether the address now belongs to another upstream.
   bool misdirected = false;
+  /// Limit that the upstream named in its refusal, as in
+  /// `AttemptHeadReceived`.
+  std::optional<double> rate_limit{};
 };
 
 /// \brief Rules were received from the store or from another instance.
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -160,6 +160,11 @@
 /// \brief Sends load digests and offers to other instances when they are due.
 void SendLoadDigests(StepContext& context);
 
+/// \brief Records the rate limit that an upstream named in an answer, or that
+/// it named none.
+void RecordRateLimit(StepContext& context, const UpstreamId& id,
+                     std::optional<double> requests_per_second);
+
 /// \brief Refuses the request, or aborts its answer, if it has poison content.
 /// \returns Whether it was refused; the record is then no longer valid.
 bool RefuseIfPoison(StepContext& context, RequestRecord& record);
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -35,6 +35,9 @@
   /// Whether its availability zone is evacuated and receives no new requests.
   bool evacuated = false;
   ColdStart cold;
+  /// Requests per second that the upstream accepts from all instances together,
+  /// as it last named it; empty: no limit.
+  std::optional<double> rate_limit;
   EngineLoad load;
   /// Estimated content of the KV cache; empty for a plain service.
   PrefixCache cache;
--- a/include/mimosagauge/impl/duties/upstreams/attempt.h
+++ b/include/mimosagauge/impl/duties/upstreams/attempt.h
@@ -101,7 +101,8 @@
   // Time after which the upstream closes an idle connection, as announced in
   // the answer; none if it announced no time.
   std::optional<Duration> idle_timeout_;
-  int interim_answers_ = 0;  // Number of answers with a 1xx status.
+  std::optional<double> rate_limit_;  // Named in the head of the answer.
+  int interim_answers_ = 0;           // Number of answers with a 1xx status.
   Phase phase_ = Phase::kConnecting;
   bool write_started_ = false;      // Bytes may have been passed to the kernel.
   bool write_done_ = false;         // The whole request was written.
--- a/include/mimosagauge/impl/duties/upstreams/dialect.h
+++ b/include/mimosagauge/impl/duties/upstreams/dialect.h
@@ -25,6 +25,9 @@
   /// empty for a valid answer.
   std::string fault;
   std::optional<LoadReport> load;  ///< The upstream's load, if reported.
+  /// Requests per second that the upstream accepts from all instances together;
+  /// none if it names no limit.
+  std::optional<double> rate_limit;
   /// Time after which the upstream closes an idle connection; none if it is not
   /// announced.
   std::optional<Duration> idle_timeout;
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -22,6 +22,7 @@
     log_events::kRequestTriedAgain,
     log_events::kConfigurationAdopted,
     log_events::kUpstreamLearned,
+    log_events::kUpstreamLimit,
     log_events::kUpstreamGone,
     log_events::kZoneEvacuated,
     log_events::kInstanceLearned,
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -271,6 +271,9 @@
   RecordRunState(record->outcome, RunState::kRan);
   record->running->has_error_status = event.head.status >= kServerError;
   UpdateUpstreamLoad(context, *record, event.load);
+  if (const auto* id = std::get_if<UpstreamId>(&record->running->target)) {
+    RecordRateLimit(context, *id, event.rate_limit);
+  }
   if (record->outcome.phase == AnswerPhase::kAnswering) {
     const bool continued = record->resuming && event.head.status == kOk &&
                            IsEventStream(event.head);
@@ -381,6 +384,9 @@
   const bool suspected = CheckForCrash(context, *record, event);
   CountRun(*record, event.run);
   FinishAttempt(context, *record, [&](const UpstreamId& id) {
+    if (event.rate_limit) {
+      RecordRateLimit(context, id, event.rate_limit);
+    }
     if (IsOverloadRefusal(event)) {
       CountAttemptRefused(context.gateway.upstreams, id, context.now);
     } else {
--- a/src/duties/upstreams/attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -334,6 +334,7 @@
   }
   const AnswerHeadInfo info = server_.dialect().read_head(head, start_effect_);
   idle_timeout_ = info.idle_timeout;
+  rate_limit_ = info.rate_limit;
   if (info.misdirected) {
     misdirected_ = true;
     FailWithRunState(RunState::kNotRun, ErrorKind::kNotFound,
@@ -375,8 +376,8 @@
   head_posted_ = true;
   RestartProgressPeriod();
   parser_->eager(true);
-  server_.Post(
-      AttemptHeadReceived{start_effect_.attempt, std::move(answer), info.load});
+  server_.Post(AttemptHeadReceived{start_effect_.attempt, std::move(answer),
+                                   info.load, info.rate_limit});
   return true;
 }
 
@@ -566,7 +567,8 @@
                              run,
                              {kind, std::move(message), std::move(remedy)},
                              std::nullopt,
-                             misdirected_});
+                             misdirected_,
+                             rate_limit_});
   Close();
 }
 
