--- a/tests/support/fleet_gateway.cc
+++ b/tests/support/fleet_gateway.cc
@@ -9,9 +9,9 @@
 constexpr std::size_t kEngineSlots = 64;
 constexpr std::size_t kDeskSlots = 6;
 
-[[nodiscard]] GatewayConfig Config() {
+[[nodiscard]] GatewayConfig Config(const std::string& instance) {
   GatewayConfig config;
-  config.instance = InstanceId{"nairobi-1"};
+  config.instance = InstanceId{instance};
   config.region = RegionId{"nairobi"};
   config.zone = ZoneId{"nairobi-a"};
   config.entry = {"10.1.0.1", 8000};
@@ -74,7 +74,8 @@
   return catalogue;
 }
 
-FleetGateway::FleetGateway() : gateway_(MakeGateway(Config(), now_, kSeed)) {
+FleetGateway::FleetGateway(const std::string& instance)
+    : gateway_(MakeGateway(Config(instance), now_, kSeed)) {
   Give(CatalogueReceived{std::make_shared<const RouteCatalogue>(Catalogue(1))});
 }
 
--- a/tests/support/fleet_gateway.h
+++ b/tests/support/fleet_gateway.h
@@ -25,13 +25,14 @@
   Revision revision{1};  ///< Of the sender; from another instance only.
 };
 
-/// \brief One instance of region `nairobi` that knows a configuration with the
-/// routes `/quote/` (stream, not repeatable, engines), `/size/` (stream that
-/// resumes, two attempts, engines) and `/status/` (idempotent, two attempts,
-/// plain service) and `/deposit/` (not repeatable, plain service).
+/// \brief One instance of region `nairobi`, `nairobi-1` by default, that knows
+/// a configuration with the routes `/quote/` (stream, not repeatable, engines),
+/// `/size/` (stream that resumes, two attempts, engines) and `/status/`
+/// (idempotent, two attempts, plain service) and `/deposit/` (not repeatable,
+/// plain service).
 class FleetGateway {
  public:
-  FleetGateway();
+  explicit FleetGateway(const std::string& instance = "nairobi-1");
 
   /// \brief Gives it an event; time stands still.
   std::vector<Effect> Give(Event event);
