Keep the rate limits that upstreams name, all instances of a region together

Cause: the limit was not read; nothing but free slots bounded the requests. Of the hypotheses, a limit kept by each instance for itself would have given 22 in 4 s at the first engine, and late word among instances an excess of seconds.

Change: the mechanism for cold upstreams now serves both limits. One instance of the region, by rendezvous hashing, owns an upstream and sends to it at the lower of the rates; the others send nothing. An instance that receives a limit, a new one or its end tells the region with its next digest, at once if it changed; the owner's answers confirm it. A limit that nobody confirms for 10 to 20 s, with a different time for each instance, lets an instance send one request and tell the others. A refusal can name a limit and does not end one; a restart does. What goes beyond the limit goes to other upstreams or regions; it waits if the next turn comes within the longest wait, and is refused at once otherwise.

--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -153,6 +153,9 @@
   ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
   PoisonTable poison;
+  /// Rate limits of upstreams heard since the last digest to the instances of
+  /// this region.
+  std::unordered_map<UpstreamHash, NamedLimit> limits_heard;
   AttemptNumber last_attempt;
   std::optional<TimePoint> drain_started;  ///< Empty: not draining.
   bool refusing_requests = false;  ///< The leave notice is over, and new
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -165,6 +165,15 @@
 void RecordRateLimit(StepContext& context, const UpstreamId& id,
                      std::optional<double> requests_per_second);
 
+/// \returns The limits heard since the last digest to the instances of this
+/// region, which are cleared.
+[[nodiscard]] std::vector<LimitReport> TakeLimitReports(Gateway& gateway,
+                                                        TimePoint now);
+
+/// \brief Applies the limits that another instance of this region has heard.
+void ApplyLimitReports(StepContext& context, const InstanceId& from,
+                       const std::vector<LimitReport>& reports);
+
 /// \brief Refuses the request, or aborts its answer, if it has poison content.
 /// \returns Whether it was refused; the record is then no longer valid.
 bool RefuseIfPoison(StepContext& context, RequestRecord& record);
--- a/include/mimosagauge/impl/decisions/load_digest.h
+++ b/include/mimosagauge/impl/decisions/load_digest.h
@@ -7,6 +7,7 @@
 #define MIMOSAGAUGE_IMPL_DECISIONS_LOAD_DIGEST_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "mimosagauge/impl/core/ids.h"
@@ -37,6 +38,15 @@
   UnreportedOutcomes outcomes;
 };
 
+/// \brief The rate limit that an upstream named in an answer, or its end.
+struct LimitReport {
+  UpstreamHash upstream;
+  /// Requests per second that it accepts from all instances together; empty: it
+  /// named no limit any more.
+  std::optional<double> requests_per_second;
+  Duration age{};  ///< Time since the answer.
+};
+
 /// \brief A prompt part that has been sent to an engine for prefill.
 struct PartRead {
   UpstreamHash upstream;
@@ -68,6 +78,8 @@
   std::vector<ServiceOffer> offers;
   /// Sent to instances of its region.
   std::vector<UpstreamOutcomes> outcomes{};
+  /// Sent to instances of its region.
+  std::vector<LimitReport> limits{};
   /// Sent to instances of all regions.
   PoisonNews poison{};
 };
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -10,12 +10,12 @@
 #include <vector>
 
 #include "mimosagauge/impl/core/time.h"
-#include "mimosagauge/impl/decisions/cold_start.h"
 #include "mimosagauge/impl/decisions/config.h"
 #include "mimosagauge/impl/decisions/engine_load.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/prefix_cache.h"
 #include "mimosagauge/impl/decisions/request.h"
+#include "mimosagauge/impl/decisions/shared_rate.h"
 #include "mimosagauge/impl/decisions/upstream_health.h"
 
 namespace mimosagauge {
@@ -34,10 +34,7 @@
   UpstreamKind kind = UpstreamKind::kPlain;
   /// Whether its availability zone is evacuated and receives no new requests.
   bool evacuated = false;
-  ColdStart cold;
-  /// Requests per second that the upstream accepts from all instances together,
-  /// as it last named it; empty: no limit.
-  std::optional<double> rate_limit;
+  SharedRate rate;
   EngineLoad load;
   /// Estimated content of the KV cache; empty for a plain service.
   PrefixCache cache;
@@ -183,9 +180,12 @@
 
 /// \returns Whether an upstream can serve the request now, or after its
 /// ejection, backoff or cold period.
+/// \param longest_wait An upstream that names a rate limit counts if it can be
+/// sent a request within this time.
 [[nodiscard]] bool CanEventuallyServe(const UpstreamTable& table,
                                       const UpstreamNeed& need,
-                                      const RegionId& region);
+                                      const RegionId& region,
+                                      Duration longest_wait, TimePoint now);
 
 /// \brief Counts the start of an attempt.
 void CountAttemptStart(UpstreamTable& table, const UpstreamId& id);
--- a/include/mimosagauge/impl/wire/load_generated.h
+++ b/include/mimosagauge/impl/wire/load_generated.h
@@ -34,6 +34,8 @@
 
 struct PoisonReport;
 
+struct LimitReport;
+
 struct LoadDigest;
 struct LoadDigestBuilder;
 
@@ -277,6 +279,40 @@
   using type = PoisonReport;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  double requests_per_second_;
+  uint64_t age_us_;
+
+ public:
+  struct Traits;
+  LimitReport()
+      : upstream_(0),
+        requests_per_second_(0),
+        age_us_(0) {
+  }
+  LimitReport(uint64_t _upstream, double _requests_per_second, uint64_t _age_us)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        requests_per_second_(flatbuffers::EndianScalar(_requests_per_second)),
+        age_us_(flatbuffers::EndianScalar(_age_us)) {
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  double requests_per_second() const {
+    return flatbuffers::EndianScalar(requests_per_second_);
+  }
+  uint64_t age_us() const {
+    return flatbuffers::EndianScalar(age_us_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LimitReport, 24);
+
+struct LimitReport::Traits {
+  using type = LimitReport;
+};
+
 struct ServiceOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceOfferBuilder Builder;
   struct Traits;
@@ -475,7 +511,8 @@
     VT_OUTCOMES = 12,
     VT_CRASHES = 14,
     VT_CLEARANCES = 16,
-    VT_POISON = 18
+    VT_POISON = 18,
+    VT_LIMITS = 20
   };
   const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *shares() const {
     return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *>(VT_SHARES);
@@ -501,6 +538,9 @@
   const flatbuffers::Vector<const mimosagauge::wire::PoisonReport *> *poison() const {
     return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::PoisonReport *> *>(VT_POISON);
   }
+  const flatbuffers::Vector<const mimosagauge::wire::LimitReport *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::LimitReport *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARES) &&
@@ -520,6 +560,8 @@
            verifier.VerifyVector(clearances()) &&
            VerifyOffset(verifier, VT_POISON) &&
            verifier.VerifyVector(poison()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
 };
@@ -552,6 +594,9 @@
   void add_poison(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PoisonReport *>> poison) {
     fbb_.AddOffset(LoadDigest::VT_POISON, poison);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::LimitReport *>> limits) {
+    fbb_.AddOffset(LoadDigest::VT_LIMITS, limits);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -572,9 +617,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::UpstreamOutcomes *>> outcomes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::Clearance *>> clearances = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PoisonReport *>> poison = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PoisonReport *>> poison = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::LimitReport *>> limits = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_store_seen(store_seen);
+  builder_.add_limits(limits);
   builder_.add_poison(poison);
   builder_.add_clearances(clearances);
   builder_.add_crashes(crashes);
@@ -599,7 +646,8 @@
     const std::vector<mimosagauge::wire::UpstreamOutcomes> *outcomes = nullptr,
     const std::vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>> *crashes = nullptr,
     const std::vector<mimosagauge::wire::Clearance> *clearances = nullptr,
-    const std::vector<mimosagauge::wire::PoisonReport> *poison = nullptr) {
+    const std::vector<mimosagauge::wire::PoisonReport> *poison = nullptr,
+    const std::vector<mimosagauge::wire::LimitReport> *limits = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<mimosagauge::wire::UpstreamShare>(*shares) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PartRead>(*parts) : 0;
   auto offers__ = offers ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>(*offers) : 0;
@@ -607,6 +655,7 @@
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::CrashReport>>(*crashes) : 0;
   auto clearances__ = clearances ? _fbb.CreateVectorOfStructs<mimosagauge::wire::Clearance>(*clearances) : 0;
   auto poison__ = poison ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PoisonReport>(*poison) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<mimosagauge::wire::LimitReport>(*limits) : 0;
   return mimosagauge::wire::CreateLoadDigest(
       _fbb,
       shares__,
@@ -616,7 +665,8 @@
       outcomes__,
       crashes__,
       clearances__,
-      poison__);
+      poison__,
+      limits__);
 }
 
 inline const mimosagauge::wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -43,6 +43,7 @@
     }
   }
   digest.parts = std::exchange(gateway.parts_read, {});
+  digest.limits = TakeLimitReports(gateway, now);
   digest.poison = TakeNews(gateway.poison, gateway.poison.news_for_region, now);
   return digest;
 }
@@ -141,6 +142,7 @@
       LogEjection(context, *upstream, from.value());
     }
   }
+  ApplyLimitReports(context, from, digest.limits);
   for (const PartRead& read : digest.parts) {
     UpstreamState* upstream = FindUpstream(gateway.upstreams, read.upstream);
     if (upstream != nullptr) {
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -78,7 +78,7 @@
   record.running->prompt_tokens = choice.prompt_tokens;
   if (UpstreamState* upstream = FindUpstream(gateway.upstreams, id)) {
     RecordPromptSent(upstream->load, choice.prompt_tokens, context.now);
-    ConsumeRequestToken(upstream->cold, context.now);
+    ConsumeRequestToken(upstream->rate, context.now);
     if (upstream->kind == UpstreamKind::kEngine) {
       const Prompt& prompt = record.arrival.head->prompt;
       Touch(upstream->cache, prompt);
@@ -107,6 +107,11 @@
   return std::chrono::duration_cast<Duration>(duration * part);
 }
 
+// The longest time that a request waits in the queue.
+[[nodiscard]] Duration MaxWait(const RequestRecord& record) {
+  return std::max(kMinWait, Scale(record.verdict.objective, kMaxWaitFraction));
+}
+
 [[nodiscard]] bool IsExpectedInTime(const StepContext& context,
                                     const RequestRecord& record,
                                     const LatencyEstimate& expected) {
@@ -135,9 +140,7 @@
   record.queue_position = place;
   if (context.gateway.catalogue != nullptr &&
       record.wait_until == TimePoint{}) {
-    const Duration wait =
-        std::max(kMinWait, Scale(record.verdict.objective, kMaxWaitFraction));
-    record.wait_until = context.now + wait;
+    record.wait_until = context.now + MaxWait(record);
     context.gateway.deadlines.emplace(record.wait_until, number);
   }
   const auto displaced =
@@ -299,7 +302,8 @@
                ? StartOnUpstream(context, record, *local)
                : RefuseOverload(context, record, local->expected);
   }
-  if (local_allowed && CanEventuallyServe(gateway.upstreams, need, region)) {
+  if (local_allowed && CanEventuallyServe(gateway.upstreams, need, region,
+                                          MaxWait(record), context.now)) {
     return EnqueueRequest(context, record);
   }
   RefuseUnplaceable(context, record);
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -24,6 +24,12 @@
 // running requests.
 constexpr double kSharedMemoryFraction = 0.7;
 
+// Shortest time for which a rate limit stays unconfirmed before an instance
+// that does not own the upstream sends it a request. The longest is twice this
+// time.
+constexpr Duration kMinConfirmationTimeout = std::chrono::seconds(10);
+constexpr std::uint64_t kTimeoutSteps = 1000;
+
 [[nodiscard]] UpstreamParameters TermsOf(const Gateway& gateway,
                                          const UpstreamRecord& record) {
   UpstreamParameters terms;
@@ -55,9 +61,9 @@
   return terms;
 }
 
-// Assigns each cold upstream to one instance of its region, by rendezvous
-// hashing.
-void AssignColdUpstreams(Gateway& gateway) {
+// Assigns each upstream to the instance of its region that sends it requests
+// while their rate is limited, by rendezvous hashing.
+void AssignUpstreamOwners(Gateway& gateway) {
   std::vector<InstanceId> owners;
   if (!gateway.drain_started) {
     owners.push_back(gateway.config.instance);
@@ -70,8 +76,14 @@
   for (UpstreamState& upstream : gateway.upstreams.upstreams) {
     const std::uint64_t subject =
         RendezvousWeight(0, upstream.config.id.value());
-    upstream.cold.owned =
+    upstream.rate.owned =
         ChooseByRendezvous(subject, owners) == gateway.config.instance;
+    upstream.rate.confirmation_timeout =
+        kMinConfirmationTimeout +
+        kMinConfirmationTimeout / kTimeoutSteps *
+            static_cast<Duration::rep>(
+                RendezvousWeight(subject, gateway.config.instance.value()) %
+                kTimeoutSteps);
   }
 }
 
@@ -127,7 +139,7 @@
 }
 
 void UpdateInstanceShares(Gateway& gateway) {
-  AssignColdUpstreams(gateway);
+  AssignUpstreamOwners(gateway);
   if (gateway.catalogue == nullptr) {
     return;
   }
@@ -177,7 +189,7 @@
       previous->config.endpoint != record.config.endpoint ||
       record.cold_remaining > Duration::zero();
   AddOrUpdateUpstream(context, record);
-  AssignColdUpstreams(gateway);
+  AssignUpstreamOwners(gateway);
   if (log_change) {
     context.effects.emplace_back(
         WriteLog{log_events::kUpstreamLearned,
@@ -220,7 +232,7 @@
       const ServiceProfile* profile =
           FindService(*gateway.catalogue, upstream.config.service);
       if (upstream.config.zone == event.zone && profile != nullptr) {
-        ExtendColdPeriod(upstream.cold, profile->cold, context.now);
+        ExtendColdPeriod(upstream.rate, profile->cold, context.now);
       }
     }
   }
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -57,7 +57,7 @@
                                const UpstreamNeed& need, const RegionId& region,
                                TimePoint now) {
   return IsEligible(upstream.health, now) &&
-         AllowsRequest(upstream.cold, now) &&
+         AllowsRequest(upstream.rate, now) &&
          MeetsRequirements(upstream, need, region);
 }
 
@@ -84,7 +84,7 @@
 [[nodiscard]] bool AcceptsRequests(const UpstreamState& upstream,
                                    TimePoint now) {
   return !upstream.leaving && !upstream.evacuated &&
-         IsEligible(upstream.health, now) && !IsCold(upstream.cold, now);
+         IsEligible(upstream.health, now) && !IsRateLimited(upstream.rate, now);
 }
 
 // A usable upstream with its cost for the request.
@@ -373,6 +373,7 @@
     state->leaving = false;
     state->health = UpstreamHealth{};
     state->load = EngineLoad{};
+    state->rate.named = {};
     Clear(state->cache);
   }
   state->config = record.config;
@@ -381,8 +382,8 @@
   state->cache.capacity = terms.cache_capacity;
   state->copy_ms_per_token = terms.copy_ms_per_token;
   state->leaving = state->leaving || record.leaving;
-  state->cold.rate = terms.cold_rate;
-  ExtendColdPeriod(state->cold, record.cold_remaining, now);
+  state->rate.cold_rate = terms.cold_rate;
+  ExtendColdPeriod(state->rate, record.cold_remaining, now);
   // Most records change only the state of an upstream, which needs no new
   // index.
   if (!index_unchanged) {
@@ -441,9 +442,12 @@
 }
 
 bool CanEventuallyServe(const UpstreamTable& table, const UpstreamNeed& need,
-                        const RegionId& region) {
+                        const RegionId& region, Duration longest_wait,
+                        TimePoint now) {
   return AnyUpstreamOffering(table, need, [&](const UpstreamState& upstream) {
-    return MeetsRequirements(upstream, need, region);
+    const bool within_limit = !upstream.rate.named.requests_per_second ||
+                              TimeToRequest(upstream.rate, now) <= longest_wait;
+    return within_limit && MeetsRequirements(upstream, need, region);
   });
 }
 
--- a/src/wire/load_codec.cc
+++ b/src/wire/load_codec.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <optional>
 #include <vector>
 
 #include "mimosagauge/impl/wire/load_schema.h"
@@ -16,6 +17,8 @@
 using flatbuffers::Offset;
 
 constexpr double kPercent = 100;
+// Rate that stands for the end of a limit.
+constexpr double kNoLimit = -1;
 // FlatBuffers wants its bytes aligned; the tag takes a whole unit.
 constexpr std::size_t kTagBytes = 8;
 
@@ -127,6 +130,12 @@
                         AgeToWire(report.refusal), AgeToWire(report.remaining),
                         report.crashes);
   }
+  std::vector<wire::LimitReport> limits;
+  for (const LimitReport& report : digest.limits) {
+    limits.emplace_back(report.upstream.value(),
+                        report.requests_per_second.value_or(kNoLimit),
+                        AgeToWire(report.age));
+  }
   // Empty lists take no bytes.
   using Shares = Offset<flatbuffers::Vector<const wire::UpstreamShare*>>;
   using Parts = Offset<flatbuffers::Vector<const wire::PartRead*>>;
@@ -134,6 +143,7 @@
   using Offers = Offset<flatbuffers::Vector<Offset<wire::ServiceOffer>>>;
   using Crashes = Offset<flatbuffers::Vector<Offset<wire::CrashReport>>>;
   using Clearances = Offset<flatbuffers::Vector<const wire::Clearance*>>;
+  using Limits = Offset<flatbuffers::Vector<const wire::LimitReport*>>;
   using Poison = Offset<flatbuffers::Vector<const wire::PoisonReport*>>;
   const Shares share_list =
       shares.empty() ? Shares() : builder.CreateVectorOfStructs(shares);
@@ -150,9 +160,11 @@
                          : builder.CreateVectorOfStructs(clearances);
   const Poison poison_list =
       poison.empty() ? Poison() : builder.CreateVectorOfStructs(poison);
+  const Limits limit_list =
+      limits.empty() ? Limits() : builder.CreateVectorOfStructs(limits);
   builder.Finish(wire::CreateLoadDigest(
       builder, share_list, part_list, offer_list, digest.store_seen,
-      outcome_list, crash_list, clearance_list, poison_list));
+      outcome_list, crash_list, clearance_list, poison_list, limit_list));
   std::string bytes(kTagBytes, kLoadDigestTag);
   for (std::size_t i = 0; i < builder.GetSize(); ++i) {
     bytes += static_cast<char>(builder.GetBufferPointer()[i]);
@@ -204,6 +216,15 @@
                                offer->reading_percent() / kPercent});
     }
   }
+  if (table.limits() != nullptr) {
+    for (const wire::LimitReport* report : *table.limits()) {
+      const double rate = report->requests_per_second();
+      const bool limited = std::isfinite(rate) && rate >= 0;
+      digest.limits.push_back({UpstreamHash{report->upstream()},
+                               limited ? std::optional(rate) : std::nullopt,
+                               AgeFromWire(report->age_us())});
+    }
+  }
   digest.poison = ReadPoisonNews(table);
   return digest;
 }
--- a/tests/unit/engine_load_test.cc
+++ b/tests/unit/engine_load_test.cc
@@ -4,7 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "mimosagauge/impl/decisions/cold_start.h"
+#include "mimosagauge/impl/decisions/shared_rate.h"
 
 namespace mimosagauge {
 namespace {
@@ -110,8 +110,8 @@
 }
 
 TEST_CASE("a cold upstream gets its rate from its owner, and nothing else") {
-  ColdStart cold;
-  cold.rate = 4.5;
+  SharedRate cold;
+  cold.cold_rate = 4.5;
   ExtendColdPeriod(cold, seconds(3), kStart);
   CHECK_FALSE(AllowsRequest(cold, kStart));
   cold.owned = true;
@@ -126,12 +126,12 @@
   }
   CHECK(sent >= 9);
   CHECK(sent <= 3 * 4.5 + 1);
-  CHECK_FALSE(IsCold(cold, kStart + seconds(4)));
+  CHECK_FALSE(IsRateLimited(cold, kStart + seconds(4)));
   CHECK(AllowsRequest(cold, kStart + seconds(4)));
 }
 
 TEST_CASE("a rate of zero means that coldness does not matter") {
-  ColdStart cold;
+  SharedRate cold;
   ExtendColdPeriod(cold, seconds(3), kStart);
   CHECK(AllowsRequest(cold, kStart));
 }
--- a/tests/unit/fleet_gateway_test.cc
+++ b/tests/unit/fleet_gateway_test.cc
@@ -456,7 +456,7 @@
 TEST_CASE("a request that waits for an upstream is told soon if none comes") {
   FleetGateway world;
   world.Upstream("engine-1", "engines", false, seconds(3));
-  FindUpstream(world.gateway().upstreams, UpstreamId{"engine-1"})->cold.owned =
+  FindUpstream(world.gateway().upstreams, UpstreamId{"engine-1"})->rate.owned =
       false;
   const auto [number, effects] = world.Request(To("/quote/1"));
   CHECK_FALSE(Find<SendProblem>(effects));
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -294,6 +294,35 @@
   CHECK(signs.idle_timeout == std::optional<Duration>(seconds(5)));
 }
 
+TEST_CASE("a rate limit is read where a worker names one") {
+  struct Case {
+    std::string field;
+    unsigned status;
+    std::optional<double> limit;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"1.9", 200, 1.9},
+      {"12", 200, 12},
+      {"0", 200, 0},
+      {"0.25", 503, 0.25},
+      {"", 200, std::nullopt},
+      {"-1", 200, std::nullopt},
+      {"nan", 200, std::nullopt},
+      {"1e400", 200, std::nullopt},
+      {"2 a second", 200, std::nullopt},
+      {"1.9", 421, std::nullopt},  // Of another upstream at this address.
+  }));
+  CAPTURE(one.field, one.status);
+  http::response_header<> head;
+  head.version(11);
+  head.result(one.status);
+  head.insert("X-Mimosagauge-Request-Id", "9c41");
+  head.insert("X-Mimosagauge-Stamp", "s");
+  head.insert("Server-Limit", one.field);
+  CHECK(platform::Upstreams().read_head(head, Attempt()).rate_limit ==
+        one.limit);
+}
+
 TEST_CASE("the store's calls are written and their answers read") {
   const StoreDialect& store = platform::Store();
   CHECK(store.encode_range({"op/config", false, ""}).target ==
