Count crashes that come together as one group

Crashes 50 ms apart counted each for a part. A power loss that an instance sees over half a second would then have made parts look like poison that many of the upstreams were answering. Crashes within 50 ms of each other are now a group that counts once. A group of four or more counts only against content whose answers had begun at a third of its crashes, and is enough to refuse that.

--- a/src/decisions/poison_content.cc
+++ b/src/decisions/poison_content.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -14,16 +15,20 @@
 namespace mimosagauge {
 namespace {
 
-// Crashes after which content without a sound answer is poison.
-constexpr std::size_t kCrashesOfPoison = 3;
+// Groups of crashes after which content without a sound answer is poison.
+constexpr std::size_t kGroupsOfPoison = 3;
 // The same, if the answers to its requests had begun at the crashes.
-constexpr std::size_t kBegunCrashesOfPoison = 2;
-// Crashes without other poison that are needed beside those with other poison,
+constexpr std::size_t kBegunGroupsOfPoison = 2;
+// Groups without other poison that are needed beside those with other poison,
 // which are explained by that.
-constexpr std::size_t kUnexplainedCrashesOfPoison = 2;
-// Crashes that follow each other faster count as one. A power loss crashes many
-// upstreams at once, whatever they run.
-constexpr Duration kMinCrashInterval = std::chrono::milliseconds(50);
+constexpr std::size_t kUnexplainedGroupsOfPoison = 2;
+// Crashes that follow each other faster form a group.
+constexpr Duration kMinGroupInterval = std::chrono::milliseconds(50);
+// A group of as many crashes is probably a power loss, which crashes upstreams
+// whatever they run. It is evidence only against content whose answers had
+// begun at this part of the crashes.
+constexpr std::size_t kLargeGroup = 4;
+constexpr std::size_t kLargeGroupDivisor = 3;
 // Sound answers to other requests since the first of the crashes. Without them,
 // the upstreams crash for another reason than the content of requests.
 constexpr std::uint64_t kMinSoundAnswers = 8;
@@ -188,13 +193,23 @@
   return found;
 }
 
-// The evidence against one suspect.
-struct Evidence {
+// How often content was a suspect in one group of crashes.
+struct Occurrence {
   std::uint32_t depth = 0;
-  std::size_t crashes = 0;      // Further apart than `kMinCrashInterval`.
+  std::size_t crashes = 0;
   std::size_t begun = 0;        // Of those, after the begin of the answer.
   std::size_t unexplained = 0;  // Of those, without other poison.
-  TimePoint counted_until{};    // Time of the last crash counted.
+};
+
+// The evidence against one suspect.
+struct Evidence {
+  std::uint32_t depth = 0;
+  std::size_t crashes = 0;
+  std::size_t groups = 0;
+  std::size_t begun_groups = 0;
+  std::size_t unexplained_groups = 0;
+  bool in_large_group = false;
+  TimePoint last_crash_at{};
   std::uint64_t sound_answers_before = 0;  // At the first crash.
 };
 
@@ -209,25 +224,60 @@
                      });
 }
 
+using CrashIterator = std::deque<Crash>::const_iterator;
+
+// Returns the end of the group that begins at `first`.
+[[nodiscard]] CrashIterator EndOfGroup(CrashIterator first, CrashIterator end) {
+  auto last = first;
+  for (auto next = std::next(first); next != end; ++next) {
+    if (next->occurred_at - last->occurred_at >= kMinGroupInterval) {
+      return next;
+    }
+    last = next;
+  }
+  return end;
+}
+
+void AddGroup(const PoisonTable& table, CrashIterator first, CrashIterator end,
+              std::map<ContentId, Evidence>& collected) {
+  std::map<ContentId, Occurrence> occurrences;
+  for (auto crash = first; crash != end; ++crash) {
+    for (const SuspectContent& suspect : crash->suspects) {
+      Occurrence& occurrence = occurrences[suspect.id];
+      occurrence.depth = suspect.depth;
+      ++occurrence.crashes;
+      occurrence.begun += suspect.begun ? 1 : 0;
+      occurrence.unexplained += IsExplained(table, *crash, suspect.id) ? 0 : 1;
+    }
+  }
+  const auto size = static_cast<std::size_t>(end - first);
+  const bool large = size >= kLargeGroup;
+  for (const auto& [id, occurrence] : occurrences) {
+    if (large && occurrence.begun * kLargeGroupDivisor < size) {
+      continue;
+    }
+    Evidence& evidence = collected[id];
+    if (evidence.groups == 0) {
+      evidence.depth = occurrence.depth;
+      evidence.sound_answers_before = first->sound_answers_before;
+    }
+    ++evidence.groups;
+    evidence.crashes += occurrence.crashes;
+    evidence.begun_groups += occurrence.begun > 0 ? 1 : 0;
+    evidence.unexplained_groups += occurrence.unexplained > 0 ? 1 : 0;
+    evidence.in_large_group = evidence.in_large_group || large;
+    evidence.last_crash_at = std::prev(end)->occurred_at;
+  }
+}
+
 [[nodiscard]] std::map<ContentId, Evidence> CollectEvidence(
     const PoisonTable& table) {
   std::map<ContentId, Evidence> collected;
-  for (const Crash& crash : table.crashes) {
-    for (const SuspectContent& suspect : crash.suspects) {
-      Evidence& evidence = collected[suspect.id];
-      const bool first = evidence.crashes == 0;
-      if (first) {
-        evidence.depth = suspect.depth;
-        evidence.sound_answers_before = crash.sound_answers_before;
-      } else if (crash.occurred_at - evidence.counted_until <
-                 kMinCrashInterval) {
-        continue;
-      }
-      ++evidence.crashes;
-      evidence.begun += suspect.begun ? 1 : 0;
-      evidence.counted_until = crash.occurred_at;
-      evidence.unexplained += IsExplained(table, crash, suspect.id) ? 0 : 1;
-    }
+  auto first = table.crashes.cbegin();
+  while (first != table.crashes.cend()) {
+    const auto end = EndOfGroup(first, table.crashes.cend());
+    AddGroup(table, first, end, collected);
+    first = end;
   }
   return collected;
 }
@@ -238,14 +288,15 @@
                                 const Evidence& evidence,
                                 const PoisonContent* previous) {
   if (previous != nullptr) {
-    return evidence.counted_until > previous->refused_until;
+    return evidence.last_crash_at > previous->refused_until;
   }
-  const bool frequent = evidence.crashes >= kCrashesOfPoison ||
-                        evidence.begun >= kBegunCrashesOfPoison;
-  const bool has_explained = evidence.unexplained < evidence.crashes;
+  const bool frequent = evidence.groups >= kGroupsOfPoison ||
+                        evidence.begun_groups >= kBegunGroupsOfPoison ||
+                        evidence.in_large_group;
+  const bool has_explained = evidence.unexplained_groups < evidence.groups;
   return frequent &&
          (!has_explained ||
-          evidence.unexplained >= kUnexplainedCrashesOfPoison) &&
+          evidence.unexplained_groups >= kUnexplainedGroupsOfPoison) &&
          table.sound_answers - evidence.sound_answers_before >=
              kMinSoundAnswers;
 }
@@ -414,7 +465,8 @@
   }
   table.next_search_at = now + kSearchInterval;
   RemoveExpired(table, now);
-  for (auto best = BestSuspects(table, now); !best.empty();
+  for (auto best = BestSuspects(table, now);
+       !best.empty() && found.size() < PoisonTable::kMaxPoison;
        best = BestSuspects(table, now)) {
     for (const auto& [id, evidence] : best) {
       const auto known = table.poison.find(id);
@@ -424,7 +476,7 @@
               : std::min(known->second.refusal * 2, kMaxRefusal);
       LimitPoison(table);
       table.poison.insert_or_assign(
-          id, PoisonContent{evidence.counted_until, evidence.crashes, refusal,
+          id, PoisonContent{evidence.last_crash_at, evidence.crashes, refusal,
                             now + refusal, table.self});
       found.push_back(id);
     }
--- a/tests/unit/poison_parts_test.cc
+++ b/tests/unit/poison_parts_test.cc
@@ -333,6 +333,52 @@
   CHECK(FindPoison(table, head, now) == nullptr);
 }
 
+// Guards against: upstreams that lose power together, or come back together and
+// reset their connections, make popular parts look like poison.
+TEST_CASE("a power loss seen over half a second makes no part poison") {
+  const bool begun = GENERATE(false, true);
+  CAPTURE(begun);
+  constexpr std::uint64_t kParts = 60;
+  PoisonTable table;
+  TimePoint now{seconds(1000)};
+  for (int loss = 0; loss < 2; ++loss) {
+    for (std::uint64_t upstream = 0; upstream < 100; ++upstream) {
+      for (std::uint64_t i = 0; i < 3; ++i) {
+        RecordLostRequest(table,
+                          HashUpstreamId(UpstreamId{std::to_string(loss) + "-" +
+                                                    std::to_string(upstream)}),
+                          Incarnation{1},
+                          HeadWith({(upstream * 7 + i * 13) % kParts}), begun,
+                          now);
+      }
+      now += milliseconds(5);
+      RecordSoundAnswer(table, HeadWith({}), now);
+      (void)FindNewPoison(table, now);
+    }
+    now += seconds(2);
+  }
+  (void)FindNewPoison(table, now);
+  CHECK(table.poison.empty());
+}
+
+TEST_CASE("a part that crashes many upstreams at once is found among others") {
+  PoisonTable table;
+  TimePoint now{seconds(1000)};
+  for (std::uint64_t upstream = 0; upstream < 20; ++upstream) {
+    const UpstreamHash hash =
+        HashUpstreamId(UpstreamId{std::to_string(upstream)});
+    RecordLostRequest(table, hash, Incarnation{1}, HeadWith({7, kPoisonPart}),
+                      true, now);
+    RecordLostRequest(table, hash, Incarnation{1}, HeadWith({100 + upstream}),
+                      true, now);
+    now += milliseconds(10);
+    RecordSoundAnswer(table, HeadWith({}), now);
+    (void)FindNewPoison(table, now);
+  }
+  CHECK(FindPoison(table, HeadWith({7, kPoisonPart}), now) != nullptr);
+  CHECK(table.poison.size() == 1);
+}
+
 // Instances `count` of one region and one of another, which exchange their
 // news.
 class Instances {
