--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -262,7 +262,10 @@
   if (upstream.leaving) {
     return "leaving";
   }
-  return upstream.health.ejected_until > now ? "ejected" : "live";
+  if (upstream.health.ejected_until > now) {
+    return "ejected";
+  }
+  return IsRateLimited(upstream.rate, now) ? "limited" : "live";
 }
 
 }  // namespace
--- a/tests/unit/upstream_run_state_test.cc
+++ b/tests/unit/upstream_run_state_test.cc
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "platform/adapter.h"
 #include "tests/support/raw_socket.h"
 #include "tests/support/upstream_rig.h"
 #include "tests/support/wait.h"
@@ -169,5 +170,59 @@
   }
 }
 
+TEST_CASE("an answer that ends with its connection is whole or broken off") {
+  struct Case {
+    const char* what;
+    bool platform;  // The dialect of the users' platform, or the default one.
+    bool stream;
+    std::string body;
+    bool reset;
+    bool whole;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"closed", true, false, "ok", false, true},
+      {"closed without a body", true, false, "", false, true},
+      {"reset", true, false, "ok", true, false},
+      {"stream closed after an event", true, true, "id: 1\ndata: a\n\n", false,
+       true},
+      {"stream closed without an event", true, true, "", false, true},
+      {"stream closed inside a line", true, true, "id: 1\ndata: a\n\nid: 2\nda",
+       false, false},
+      {"stream closed after a line", true, true,
+       "id: 1\ndata: a\n\nid: 2\ndata: b\n", false, false},
+      {"stream reset after an event", true, true, "id: 1\ndata: a\n\n", true,
+       false},
+      {"default: closed", false, false, "ok", false, false},
+      {"default: stream closed after its last event", false, true,
+       "data: a\n\ndata: [DONE]\n\n", false, true},
+      {"default: stream closed before its last event", false, true,
+       "data: a\n\n", false, false},
+      {"default: stream closed inside its last event", false, true,
+       "data: a\n\ndata: [DONE]\n", false, false},
+      {"default: stream closed inside an event after the last one", false, true,
+       "data: a\n\ndata: [DONE]\n\ndata: b", false, false},
+      {"default: stream reset", false, true, "data: a\n\n", true, false},
+  }));
+  CAPTURE(one.what);
+  std::string answer =
+      "HTTP/1.1 200 OK\r\nX-Mimosagauge-Request-Id: r\r\n"
+      "X-Mimosagauge-Stamp: s\r\n";
+  answer += one.stream ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n";
+  answer += one.body;
+  ScriptedUpstream upstream({[&](RawSocket& connection) {
+    TakeRequest(connection);
+    connection.Send(answer);
+    if (one.reset) {
+      connection.Reset();
+    } else {
+      connection.Close();
+    }
+  }});
+  UpstreamRig rig(
+      upstream.port(), UpstreamKind::kEngine,
+      one.platform ? platform::Upstreams() : DefaultUpstreamDialect());
+  CHECK(FailedAs(rig.Run(one.stream)).has_value() != one.whole);
+}
+
 }  // namespace
 }  // namespace mimosagauge::testing
