--- a/src/decisions/poison_content.cc
+++ b/src/decisions/poison_content.cc
@@ -227,7 +227,8 @@
 using CrashIterator = std::deque<Crash>::const_iterator;
 
 // Returns the end of the group that begins at `first`.
-[[nodiscard]] CrashIterator EndOfGroup(CrashIterator first, CrashIterator end) {
+[[nodiscard]] CrashIterator EndOfGroup(const CrashIterator& first,
+                                       const CrashIterator& end) {
   auto last = first;
   for (auto next = std::next(first); next != end; ++next) {
     if (next->occurred_at - last->occurred_at >= kMinGroupInterval) {
@@ -238,7 +239,8 @@
   return end;
 }
 
-void AddGroup(const PoisonTable& table, CrashIterator first, CrashIterator end,
+void AddGroup(const PoisonTable& table, const CrashIterator& first,
+              const CrashIterator& end,
               std::map<ContentId, Evidence>& collected) {
   std::map<ContentId, Occurrence> occurrences;
   for (auto crash = first; crash != end; ++crash) {
--- a/src/wire/once_codec.cc
+++ b/src/wire/once_codec.cc
@@ -16,7 +16,6 @@
 
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
-using flatbuffers::Vector;
 
 std::string Finish(FlatBufferBuilder& builder, Offset<void> root) {
   builder.Finish(Offset<flatbuffers::Table>(root.o));
--- a/tests/unit/upstream_limit_test.cc
+++ b/tests/unit/upstream_limit_test.cc
@@ -257,7 +257,7 @@
   CHECK(region.MostIn4s(named_at + seconds(5)) <= Allowed(limit));
   // The other engines serve the rest.
   CHECK(region.served() + 20 >= region.sent());
-  CHECK(region.sent() >= 60 * 21);
+  CHECK(region.sent() >= std::size_t{60} * 21);
 }
 
 TEST_CASE("a limit holds while instances come, go and stand still") {
