Say 502 where a request refused as poison may have run

With rules from the settings the status of such a refusal was 503 whatever the run state; the adapter of the platform alone corrected it.

--- a/include/mimosagauge/impl/decisions/poison_content.h
+++ b/include/mimosagauge/impl/decisions/poison_content.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "mimosagauge/impl/core/ids.h"
--- a/include/mimosagauge/impl/decisions/problems.h
+++ b/include/mimosagauge/impl/decisions/problems.h
@@ -47,8 +47,9 @@
 /// The instance is shutting down.
 [[nodiscard]] Problem Stopping(RunState run);
 
-/// \returns The refusal of a request with content that crashes upstreams.
-/// \param remaining Time until requests with it are accepted again.
+/// Requests with the same content have crashed upstreams. The status is 503 if
+/// this request was not run, else 502.
+/// \param remaining The time until requests with it are accepted again.
 [[nodiscard]] Problem PoisonRefused(std::string detail, RunState run,
                                     Duration remaining);
 
--- a/src/decisions/problems.cc
+++ b/src/decisions/problems.cc
@@ -181,11 +181,13 @@
 
 Problem PoisonRefused(std::string detail, RunState run, Duration remaining) {
   Problem problem = MakeProblem(
-      kServiceUnavailable,
+      run == RunState::kNotRun ? kServiceUnavailable : kBadGateway,
       {"poison-content", "Requests with this content have crashed upstreams",
        "change the prompt; the same content is refused for a limited time"},
       std::move(detail), run);
-  problem.retry_after = remaining;
+  if (run == RunState::kNotRun) {
+    problem.retry_after = remaining;
+  }
   return problem;
 }
 
--- a/tests/unit/poison_parts_test.cc
+++ b/tests/unit/poison_parts_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/decisions/poison_content.h"
+#include "mimosagauge/impl/decisions/problems.h"
 #include "mimosagauge/impl/wire/load_codec.h"
 #include "tests/support/fleet_gateway.h"
 
@@ -133,6 +134,19 @@
   CHECK(detail.find("found by nairobi-1") != std::string::npos);
 }
 
+TEST_CASE("the status of a refusal says whether the request may have run") {
+  struct Case {
+    RunState run;
+    std::uint16_t status;
+  };
+  const Case one = GENERATE(values<Case>({{RunState::kNotRun, 503},
+                                          {RunState::kUnknown, 502},
+                                          {RunState::kRan, 502}}));
+  const Problem problem = PoisonRefused("", one.run, seconds(9));
+  CHECK(problem.status == one.status);
+  CHECK(problem.retry_after.has_value() == (one.status == 503));
+}
+
 TEST_CASE("requests that wait or have not begun are refused with the rest") {
   CrashingEngines engines;
   FleetGateway& world = engines.world();
