Poison content: one check whether content was cleared since

Merging a crash report and adopting a refusal each looked up the last clearance of the content by themselves.

--- a/src/decisions/poison_content.cc
+++ b/src/decisions/poison_content.cc
@@ -69,6 +69,13 @@
       });
 }
 
+// Whether a sound answer has cleared the content at `time` or later.
+[[nodiscard]] bool IsClearedSince(const PoisonTable& table, ContentId id,
+                                  TimePoint time) {
+  const auto cleared = table.cleared_at.find(id);
+  return cleared != table.cleared_at.end() && cleared->second >= time;
+}
+
 // Adds the suspects that no later sound answer has cleared. The first suspect
 // whose answer had begun displaces those whose answers had not.
 // \returns The suspects that were not known before.
@@ -77,10 +84,8 @@
     const std::vector<SuspectContent>& suspects) {
   std::vector<SuspectContent> added;
   for (const SuspectContent& suspect : suspects) {
-    const auto cleared = table.cleared_at.find(suspect.id);
-    const bool is_cleared = cleared != table.cleared_at.end() &&
-                            cleared->second >= crash.occurred_at;
-    if (is_cleared || (crash.any_begun && !suspect.begun)) {
+    if (IsClearedSince(table, suspect.id, crash.occurred_at) ||
+        (crash.any_begun && !suspect.begun)) {
       continue;
     }
     if (suspect.begun && !crash.any_begun) {
@@ -379,10 +384,8 @@
 bool Adopt(PoisonTable& table, const PoisonReport& report,
            const InstanceId& from, TimePoint now) {
   const TimePoint last_crash_at = now - report.age;
-  const auto cleared = table.cleared_at.find(report.id);
-  const bool is_cleared =
-      cleared != table.cleared_at.end() && cleared->second >= last_crash_at;
-  if (is_cleared || report.remaining <= Duration::zero()) {
+  if (IsClearedSince(table, report.id, last_crash_at) ||
+      report.remaining <= Duration::zero()) {
     return false;
   }
   const Duration refusal =
