--- a/review/stand/store.cc
+++ b/review/stand/store.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <utility>
 
 namespace review {
 namespace {
@@ -89,6 +90,12 @@
   changed_.notify_all();
 }
 
+void Store::SetRoundTrip(std::chrono::milliseconds round_trip) {
+  round_trip_ms_ = round_trip.count();
+}
+
+void Store::SilenceOpenChannels() { ++silences_; }
+
 void Store::PutLocked(const std::string& key, const std::string& value,
                       std::uint64_t lease) {
   Item& item = items_[key];
@@ -138,9 +145,20 @@
 }
 
 void Store::Serve(Channel& channel) {
+  const std::uint64_t silences = silences_;
+  bool is_new = true;
   while (const auto request = channel.ReadMessage()) {
     unsigned status = 200;
+    if (request->first_line.find("kv-watch") != std::string::npos) {
+      ++watch_calls_;
+    }
+    const std::int64_t trips = std::exchange(is_new, false) ? 2 : 1;
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(round_trip_ms_ * trips));
     const std::string body = Answer(*request, status);
+    if (silences_ != silences) {
+      continue;
+    }
     const std::string text = "HTTP/1.1 " + std::to_string(status) +
                              " Answer\r\nContent-Type: application/json\r\n"
                              "Content-Length: " +
--- a/review/stand/store.h
+++ b/review/stand/store.h
@@ -26,6 +26,13 @@
   void Put(const std::string& key, const std::string& value,
            std::uint64_t lease = 0);
   void Remove(const std::string& key);
+  /// \brief Sets the round trip time, which a new channel takes once more.
+  void SetRoundTrip(std::chrono::milliseconds round_trip);
+  /// \brief From now on nothing passes on the channels that are open; new ones
+  /// work.
+  void SilenceOpenChannels();
+  /// \returns The number of calls of the watch that have arrived.
+  [[nodiscard]] std::uint64_t watch_calls() const { return watch_calls_; }
 
  private:
   struct Item {
@@ -57,6 +64,9 @@
   void EndLease(std::uint64_t lease);
   void ExpireLeases();
 
+  std::atomic<std::uint64_t> watch_calls_ = 0;
+  std::atomic<std::uint64_t> silences_ = 0;
+  std::atomic<std::int64_t> round_trip_ms_ = 0;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::uint64_t revision_ = 1;
