--- a/review/stand/http.cc
+++ b/review/stand/http.cc
@@ -172,7 +172,7 @@
 }
 
 void OpenRecord(const std::string& file) {
-  record_file = std::fopen(file.c_str(), "w");
+  record_file = std::fopen(file.c_str(), "we");
 }
 
 void Record(const std::string& line) {
