--- a/review/stand/http.cc
+++ b/review/stand/http.cc
@@ -22,13 +22,18 @@
   return address;
 }
 
+// Listens at `port`, or at any port if that is zero. Returns -1 if it is taken.
 [[nodiscard]] int Listen(std::uint16_t& port) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in address = Loopback(0);
+  sockaddr_in address = Loopback(port);
   socklen_t size = sizeof(address);
-  bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+      0) {
+    close(socket);
+    return -1;
+  }
   listen(socket, 512);
   getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
   port = ntohs(address.sin_port);
@@ -53,9 +58,9 @@
 
 Channel::~Channel() { close(socket_); }
 
-long Channel::ReadSome(std::size_t size) {
+std::int64_t Channel::ReadSome(std::size_t size) {
   std::string part(size, '\0');
-  const long count = recv(socket_, part.data(), size, 0);
+  const std::int64_t count = recv(socket_, part.data(), size, 0);
   if (count > 0) {
     buffer_.append(part, 0, static_cast<std::size_t>(count));
   }
@@ -108,8 +113,8 @@
 bool Channel::Write(const std::string& bytes) {
   std::size_t written = 0;
   while (written < bytes.size()) {
-    const long count = send(socket_, bytes.data() + written,
-                            bytes.size() - written, MSG_NOSIGNAL);
+    const std::int64_t count = send(socket_, bytes.data() + written,
+                                    bytes.size() - written, MSG_NOSIGNAL);
     if (count <= 0) {
       return false;
     }
@@ -119,9 +124,18 @@
 }
 
 std::uint16_t FreePort() {
-  std::uint16_t port = 0;
-  close(Listen(port));
-  return port;
+  // Below the ports that the kernel gives to outgoing connections.
+  constexpr int kFirst = 12000;
+  constexpr int kCount = 18000;
+  static int next = static_cast<int>(getpid()) * 61 % kCount;
+  while (true) {
+    auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+    const int socket = Listen(port);
+    if (socket >= 0) {
+      close(socket);
+      return port;
+    }
+  }
 }
 
 int Connect(std::uint16_t port, const ConnectOptions& options) {
@@ -166,8 +180,9 @@
 }
 
 double Now() {
-  static const auto start = std::chrono::steady_clock::now();
-  return std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+  static const auto kStart = std::chrono::steady_clock::now();
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() -
+                                       kStart)
       .count();
 }
 
--- a/review/stand/http.h
+++ b/review/stand/http.h
@@ -33,7 +33,7 @@
 
   /// \brief Reads at most `size` bytes into the buffer.
   /// \returns The number of bytes; zero at the end, negative after a reset.
-  long ReadSome(std::size_t size = 65536);
+  std::int64_t ReadSome(std::size_t size = 65536);
   /// \returns A header and a body with a length; nothing if the channel ended.
   std::optional<HttpMessage> ReadMessage();
   /// \returns Only the first line and the fields.
