Keep reads of the whole store apart

Cause: a full read of the store kept its pages in members of FleetDuty. When the watch was reopened during a read, a second read began and both filled the same map; the first to end cleared it, and the second took all that it lacked for removed. Evidence: two entries 5005 in the log 500 ms apart, with 29 and 27 entries. Ruled out: removals that are deferred after an outage.

Change: each read owns its state, and answers to calls of an earlier read or poll are ignored. Reopening has no effect during a read, whose calls have time limits and which reports all that a new poll would.

The test failed before: 2 entries removed at two of the three steps of a read. It needs a store in the platform's dialect; tests/support/platform_store.

--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -65,7 +65,7 @@
   /// \brief Revokes this instance's registration. The store is still watched.
   void Leave();
   /// \brief Ignores the poll in progress, which may have stalled, and starts a
-  /// new one. Has no effect before the first read of the store is complete.
+  /// new one. Has no effect while the whole store is being read.
   void Reopen();
   /// \brief Ends all calls and timers.
   void Stop();
@@ -73,6 +73,13 @@
  private:
   using Clock = std::chrono::steady_clock;
 
+  // What a read of the whole store has found so far.
+  struct FullRead {
+    std::unordered_map<std::string, StoreEntry> entries;  // By key.
+    // Store revision of the first page; zero: no page arrived yet.
+    StoreRevision start_revision;
+  };
+
   // Registration.
   void Register();
   void WriteRegistration(LeaseId lease);
@@ -83,9 +90,11 @@
 
   // Reads and polls of the store.
   void ReadAll();
-  void ReadPrefix(std::size_t prefix_index, std::string after_key);
-  void HandlePage(std::size_t prefix_index, const StoreReadResult& page);
-  void ApplyFullRead();
+  void ReadPrefix(const std::shared_ptr<FullRead>& read,
+                  std::size_t prefix_index, std::string after_key);
+  void HandlePage(const std::shared_ptr<FullRead>& read,
+                  std::size_t prefix_index, const StoreReadResult& page);
+  void ApplyFullRead(const FullRead& read);
   void Poll();
   void HandlePollUpdate(const StoreWatchUpdate& update);
   void AdvanceSeenRevision(StoreRevision revision);
@@ -123,10 +132,9 @@
   StoreRevision seen_revision_;
   /// Revisions of the entries processed, by key.
   std::unordered_map<std::string, StoreRevision> posted_revisions_;
-  /// Entries found so far by the full read in progress, by key.
-  std::unordered_map<std::string, StoreEntry> read_entries_;
-  /// Store revision of the full read's first page; zero: no page arrived yet.
-  StoreRevision read_start_revision_;
+  // The read of the whole store in progress, or to be started again after a
+  // failed call; null: none. Answers to calls of an earlier read are ignored.
+  std::shared_ptr<FullRead> read_;
   /// Keys of entries that were missing after an outage, and the time at which
   /// they are removed unless they are registered again before.
   std::unordered_map<std::string, Clock::time_point> missing_until_;
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -187,49 +187,55 @@
 }
 
 void FleetDuty::ReadAll() {
-  read_entries_.clear();
-  read_start_revision_ = StoreRevision{};
-  ReadPrefix(0, "");
+  // Answers to polls that started before this read are ignored.
+  ++poll_number_;
+  read_ = std::make_shared<FullRead>();
+  ReadPrefix(read_, 0, "");
 }
 
-void FleetDuty::ReadPrefix(std::size_t prefix_index, std::string after_key) {
+void FleetDuty::ReadPrefix(const std::shared_ptr<FullRead>& read,
+                           std::size_t prefix_index, std::string after_key) {
   store_->Get({prefixes_[prefix_index], true, std::move(after_key)},
-              [this, prefix_index](Result<StoreReadResult>&& page) {
+              [this, read, prefix_index](Result<StoreReadResult>&& page) {
+                if (read != read_) {
+                  return;
+                }
                 RecordCallResult(bool{page}, page ? "" : page.error().message);
                 if (!page) {
                   return RunAfter(times_.retry, &FleetDuty::ReadAll);
                 }
-                HandlePage(prefix_index, page.value());
+                HandlePage(read, prefix_index, page.value());
               });
 }
 
-void FleetDuty::HandlePage(std::size_t prefix_index,
+void FleetDuty::HandlePage(const std::shared_ptr<FullRead>& read,
+                           std::size_t prefix_index,
                            const StoreReadResult& page) {
   // The pages do not form a snapshot. Polling starts at the first page's
   // revision, so it reports again what changed between the pages.
-  if (read_start_revision_ == StoreRevision{}) {
-    read_start_revision_ = page.revision;
+  if (read->start_revision == StoreRevision{}) {
+    read->start_revision = page.revision;
   }
   for (const StoreEntry& entry : page.entries) {
-    read_entries_.insert_or_assign(entry.key, entry);
+    read->entries.insert_or_assign(entry.key, entry);
   }
   if (page.more && !page.entries.empty()) {
-    return ReadPrefix(prefix_index, page.entries.back().key);
+    return ReadPrefix(read, prefix_index, page.entries.back().key);
   }
   if (prefix_index + 1 < prefixes_.size()) {
-    return ReadPrefix(prefix_index + 1, "");
+    return ReadPrefix(read, prefix_index + 1, "");
   }
-  ApplyFullRead();
+  ApplyFullRead(*read);
 }
 
-void FleetDuty::ApplyFullRead() {
-  AdvanceSeenRevision(read_start_revision_);
+void FleetDuty::ApplyFullRead(const FullRead& read) {
+  AdvanceSeenRevision(read.start_revision);
   Log(log_events::kStoreReread,
-      {{"entries", std::to_string(read_entries_.size())},
+      {{"entries", std::to_string(read.entries.size())},
        {"revision", std::to_string(seen_revision_.value())}});
   std::vector<std::string> removed_keys;
   for (const auto& [key, revision] : posted_revisions_) {
-    if (read_entries_.count(key) == 0) {
+    if (read.entries.count(key) == 0) {
       removed_keys.push_back(key);
     }
   }
@@ -239,19 +245,21 @@
   // The configuration is posted first because it describes the upstreams'
   // services.
   const auto configuration =
-      read_entries_.find(std::string(dialect_.configuration_key));
-  if (configuration != read_entries_.end()) {
+      read.entries.find(std::string(dialect_.configuration_key));
+  if (configuration != read.entries.end()) {
     PostEntry(configuration->second);
   }
-  for (const auto& [key, entry] : read_entries_) {
+  for (const auto& [key, entry] : read.entries) {
     PostEntry(entry);
   }
-  read_entries_.clear();
+  read_.reset();
   Poll();
 }
 
 void FleetDuty::Reopen() {
-  if (store_ == nullptr || seen_revision_ == StoreRevision{}) {
+  // A read in progress has a time limit for each of its calls, and reports all
+  // that a new poll would.
+  if (store_ == nullptr || read_ != nullptr) {
     return;
   }
   watch_timer_.cancel();
--- a/tests/unit/fleet_duty_test.cc
+++ b/tests/unit/fleet_duty_test.cc
@@ -2,12 +2,161 @@
 
 #include "mimosagauge/impl/duties/store/fleet_duty.h"
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+#include "mimosagauge/impl/settings/settings.h"
+#include "platform/adapter.h"
+#include "tests/support/platform_store.h"
+#include "tests/support/wait.h"
 
 namespace mimosagauge {
 namespace {
 
+using std::chrono::milliseconds;
+using testing::PlatformStore;
+using testing::WaitUntil;
+
+constexpr const char* kEvacuationKey = "op/evacuate/nairobi-a";
+constexpr const char* kUpstreamKey = "servers/i-1";
+
+// The duty on a thread of its own, and what it has posted.
+class RunningFleetDuty {
+ public:
+  explicit RunningFleetDuty(PlatformStore& store)
+      : settings_(MakeSettings(store)),
+        work_(boost::asio::make_work_guard(io_context_)),
+        mailbox_(io_context_, io_context_, kMailboxCapacity),
+        duty_(io_context_, settings_, platform::Store(), platform::Fleet(),
+              mailbox_) {
+    mailbox_.set_handler([this](Event&& event) { Record(event); });
+    OnThread([this] { duty_.Start(); });
+    thread_ = std::thread([this] { io_context_.run(); });
+  }
+  ~RunningFleetDuty() {
+    OnThread([this] {
+      duty_.Stop();
+      work_.reset();
+    });
+    thread_.join();
+  }
+  RunningFleetDuty(const RunningFleetDuty&) = delete;
+  RunningFleetDuty& operator=(const RunningFleetDuty&) = delete;
+
+  void Reopen() {
+    OnThread([this] { duty_.Reopen(); });
+  }
+  void Leave() {
+    OnThread([this] { duty_.Leave(); });
+  }
+  /// \returns The upstreams and evacuations that are known now, by key.
+  [[nodiscard]] std::set<std::string> Known() {
+    const std::lock_guard lock(mutex_);
+    return known_;
+  }
+  /// \returns The number of entries that were ever reported as removed.
+  [[nodiscard]] std::size_t removals() {
+    const std::lock_guard lock(mutex_);
+    return removals_;
+  }
+
+ private:
+  static constexpr std::size_t kMailboxCapacity = 64;
+
+  [[nodiscard]] static Settings MakeSettings(const PlatformStore& store) {
+    Settings settings;
+    settings.instance = InstanceId{"front-1"};
+    settings.region = RegionId{"nairobi"};
+    settings.zone = ZoneId{"nairobi-a"};
+    settings.regions = {{RegionId{"nairobi"}, {ZoneId{"nairobi-a"}}}};
+    settings.store = {store.endpoint()};
+    settings.store_prefix = "/mimosagauge/";
+    settings.session = std::chrono::seconds(4);
+    return settings;
+  }
+
+  template <typename Function>
+  void OnThread(Function function) {
+    boost::asio::post(io_context_, std::move(function));
+  }
+
+  void Record(const Event& event) {
+    const std::lock_guard lock(mutex_);
+    if (const auto* updated = std::get_if<UpstreamUpdated>(&event)) {
+      known_.insert("servers/" + updated->record.config.id.value());
+    } else if (const auto* removed = std::get_if<UpstreamRemoved>(&event)) {
+      Forget("servers/" + removed->id.value());
+    } else if (const auto* evacuated = std::get_if<ZoneEvacuated>(&event)) {
+      const std::string key = "op/evacuate/" + evacuated->zone.value();
+      if (evacuated->on) {
+        known_.insert(key);
+      } else {
+        Forget(key);
+      }
+    }
+  }
+
+  void Forget(const std::string& key) {
+    ++removals_;
+    known_.erase(key);
+  }
+
+  Settings settings_;
+  boost::asio::io_context io_context_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  Mailbox<Event> mailbox_;
+  FleetDuty duty_;
+  std::mutex mutex_;
+  std::set<std::string> known_;
+  std::size_t removals_ = 0;
+  std::thread thread_;
+};
+
+void PutWorld(PlatformStore& store) {
+  store.Put(kEvacuationKey, "{}");
+  store.Put(kUpstreamKey,
+            R"({"service":"s","addr":"127.0.0.1:9","zone":"nairobi-a",
+                "slots":4,"state":"ready","coldLeftMs":0,"seq":1})");
+}
+
+// Guards against an evacuation, or all upstreams, being forgotten when the
+// store is to be read anew and the watch is reopened during that read.
+TEST_CASE("reopening the watch during a read of the store forgets nothing") {
+  PlatformStore store;
+  PutWorld(store);
+  RunningFleetDuty duty(store);
+  REQUIRE(WaitUntil([&] { return duty.Known().size() == 2; }));
+  // The poll in progress stalls; what it missed is no longer in the history.
+  const std::uint64_t polls = store.CallCount("kv-watch");
+  REQUIRE(WaitUntil([&] { return store.CallCount("kv-watch") >= 1; }));
+  store.SilenceOpenConnections();
+  store.Put("op/config", "{}");
+  store.Compact();
+  store.SetDelay(milliseconds(150));
+  const std::uint64_t reads = store.CallCount("kv-range");
+  duty.Reopen();
+  // Reopen at each step of the read: it has three prefixes.
+  const std::uint64_t step = GENERATE(1u, 2u, 3u);
+  REQUIRE(
+      WaitUntil([&] { return store.CallCount("kv-range") >= reads + step; }));
+  duty.Reopen();
+  REQUIRE(WaitUntil([&] { return store.CallCount("kv-watch") >= polls + 3; }));
+  CHECK(duty.removals() == 0);
+  CHECK(duty.Known() == std::set<std::string>{kEvacuationKey, kUpstreamKey});
+  // The watch goes on after the read.
+  store.SetDelay(milliseconds(0));
+  store.Remove(kEvacuationKey);
+  CHECK(WaitUntil([&] { return duty.Known().size() == 1; }));
+}
+
 // The store's watches may all go silent while changes are made; then no other
 // instance knows better. An instance is held to its bounds again 5 s after such
 // a disruption, which itself takes a second.
