Find requests that crash upstreams before they send a status

Cause: the gateway reported only lost requests whose answer had begun. A plain service sends its status when it has run the request. Ruled out: the search in the table of evidence, which finds such content when it is told.

Change: requests lost without a status are kept aside until the end of the upstream's process is confirmed by a refused connection, the removal of its entry or an entry with another incarnation; an answer to a later request disproves it. Then the whole request, not its prompt parts, is a suspect. Sound answers of the same service are required, so that a service that is down makes no request poison. Entry 8003 names the upstream.

The test has a row for each sign and for lost answers, a service that is down and a request answered in between, which stay served.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -93,6 +93,10 @@
     8002, LogLevel::kWarning,
     "content crashes upstreams; requests with it are refused for a while",
     "find its requests in entries 3001 and 8102; the refusal ends by itself"};
+inline constexpr LogEvent kUpstreamCrashed{
+    8003, LogLevel::kInfo,
+    "an upstream's process ended with requests that had no answer",
+    "look at the upstream; requests lost at several upstreams become 8002"};
 inline constexpr LogEvent kRequestAnswered{8101, LogLevel::kInfo,
                                            "a request was answered whole", ""};
 inline constexpr LogEvent kRequestNotServed{
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -83,6 +83,8 @@
   /// Limit that the upstream named in its refusal, as in
   /// `AttemptHeadReceived`.
   std::optional<double> rate_limit{};
+  /// Whether no process listens at the upstream's address.
+  bool connection_refused = false;
 };
 
 /// \brief Rules were received from the store or from another instance.
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -153,6 +153,9 @@
   ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
   PoisonTable poison;
+  /// Requests lost at upstreams of which it is not known yet whether their
+  /// process has ended.
+  std::unordered_map<UpstreamId, UnconfirmedLoss> unconfirmed_losses;
   /// Rate limits of upstreams heard since the last digest to the instances of
   /// this region.
   std::unordered_map<UpstreamHash, NamedLimit> limits_heard;
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -185,6 +185,14 @@
 bool CheckForCrash(StepContext& context, const RequestRecord& record,
                    const AttemptFailed& event);
 
+/// \brief Records that the upstream's process has ended, with which requests
+/// may have been lost.
+void ConfirmLoss(StepContext& context, const UpstreamId& upstream);
+
+/// \brief Records that the running attempt has an answer. Requests lost before
+/// it began were not lost because the upstream's process ended.
+void DisproveLoss(StepContext& context, const Attempt& attempt);
+
 /// \brief Marks that the running attempt's answer has a body, or is complete
 /// without one, which shows that its content does not crash the upstream.
 void MarkBodyBegun(StepContext& context, RequestRecord& record);
@@ -193,8 +201,8 @@
 void ApplyPoisonNews(StepContext& context, const PeerState& from,
                      const PoisonNews& news);
 
-/// rief Searches for poison content when that is due, and refuses the requests
-/// with it of whose answers no body was received.
+/// \brief Searches for poison content when that is due, and refuses the
+/// requests with it of whose answers no body was received.
 void SearchForPoison(StepContext& context);
 
 /// \brief An instance of another region and the estimate for a request there.
--- a/include/mimosagauge/impl/decisions/poison_content.h
+++ b/include/mimosagauge/impl/decisions/poison_content.h
@@ -3,11 +3,12 @@
 //
 // A crash is evidence against the content of the requests that it cut off
 // before any of their answer's body was received. Those whose answer had begun,
-// with its status, are the stronger suspects. A sound answer, one with a body,
-// clears its content of all earlier crashes. Content with several crashes and
-// no sound answer since is poison, and requests with it are refused for a
-// limited time. Instances exchange crashes, clearances and the poison they know
-// as `PoisonNews`.
+// with its status, are the stronger suspects. Without a status, only the whole
+// request is a suspect, and only if the upstream's process has ended. A sound
+// answer, one with a body, clears its content of all earlier crashes. Content
+// with several crashes and no sound answer since is poison, and requests with
+// it are refused for a limited time. Instances exchange crashes, clearances and
+// the poison they know as `PoisonNews`.
 
 #ifndef MIMOSAGAUGE_IMPL_DECISIONS_POISON_CONTENT_H_
 #define MIMOSAGAUGE_IMPL_DECISIONS_POISON_CONTENT_H_
@@ -36,12 +37,16 @@
   Incarnation incarnation;  ///< Of the crashed process; zero: unknown.
   TimePoint occurred_at;    ///< The earliest time reported.
   /// Content of the cut-off requests that no sound answer has cleared since; at
-  /// most `kMaxSuspectsPerCrash`, sorted by id. If any answer had begun, only
-  /// content of such requests.
+  /// most `kMaxSuspectsPerCrash`, sorted by id. If any answer had begun, prompt
+  /// parts only of such requests.
   std::vector<SuspectContent> suspects;
   bool any_begun = false;  ///< An answer of a suspect had begun.
-  /// Value of `PoisonTable::sound_answers` when the crash became known.
+  /// Service of the upstream; empty: only other instances reported the crash.
+  ServiceId service;
+  /// Sound answers of all services, and of `service`, when the crash became
+  /// known.
   std::uint64_t sound_answers_before = 0;
+  std::uint64_t service_sound_answers_before = 0;
 };
 
 /// \brief Content that is refused, or was until a short time ago.
@@ -70,7 +75,9 @@
   /// `kMaxClearances`.
   std::unordered_map<ContentId, TimePoint> cleared_at;
   std::map<ContentId, PoisonContent> poison;  ///< At most `kMaxPoison`.
-  std::uint64_t sound_answers = 0;    ///< Sound answers that this instance saw.
+  std::uint64_t sound_answers = 0;  ///< Sound answers that this instance saw.
+  /// The same, of each service.
+  std::unordered_map<ServiceId, std::uint64_t> sound_answers_by_service;
   UnsentNews news_for_region;         ///< For the instances of this region.
   UnsentNews news_for_other_regions;  ///< For those of the other regions.
   /// When evidence was last added; poison is searched for a while after it.
@@ -95,9 +102,28 @@
                        Incarnation incarnation, const RequestHead& head,
                        bool begun, TimePoint now);
 
+/// \brief Requests that were lost before their status together with their
+/// connections to one process of an upstream. They are no evidence until it is
+/// confirmed that the process has ended.
+struct UnconfirmedLoss {
+  Incarnation incarnation;  ///< Of the upstream's process; zero: unknown.
+  ServiceId service;        ///< Of the upstream.
+  TimePoint lost_at{};      ///< Time of the last loss.
+  std::vector<SuspectContent> requests;  ///< At most `kMaxSuspectsPerCrash`.
+};
+
+/// \brief Adds a request of this instance to the loss.
+void AddLostRequest(UnconfirmedLoss& loss, const RequestHead& head,
+                    TimePoint now);
+
+/// \brief Records that the process that the requests were lost with has ended.
+void RecordConfirmedLoss(PoisonTable& table, const UpstreamHash& upstream,
+                         const UnconfirmedLoss& loss, TimePoint now);
+
 /// \brief Records a sound answer, which clears the request's content.
+/// \param service Service of the upstream that answered; empty: unknown.
 void RecordSoundAnswer(PoisonTable& table, const RequestHead& head,
-                       TimePoint now);
+                       TimePoint now, const ServiceId& service = {});
 
 /// \brief Adds what another instance has reported.
 /// \param from_own_region Whether that instance is in the region of this one.
--- a/include/mimosagauge/impl/decisions/poison_news.h
+++ b/include/mimosagauge/impl/decisions/poison_news.h
@@ -28,6 +28,9 @@
                                        const SuspectContent&) = default;
 };
 
+/// Value of `SuspectContent::depth` for a whole request.
+inline constexpr std::uint32_t kWholeRequestDepth = 0;
+
 /// Largest number of suspects of one crash.
 inline constexpr std::size_t kMaxSuspectsPerCrash = 64;
 
--- a/include/mimosagauge/impl/duties/upstreams/attempt.h
+++ b/include/mimosagauge/impl/duties/upstreams/attempt.h
@@ -110,7 +110,8 @@
   bool head_posted_ = false;        // `AttemptHeadReceived` was posted.
   bool event_stream_ = false;       // The body is posted in whole events.
   bool misdirected_ = false;        // The address belongs to another upstream.
-  bool answer_complete_ = false;    // The parser reached the end of the answer.
+  bool connection_refused_ = false;  // No process listens at the address.
+  bool answer_complete_ = false;  // The parser reached the end of the answer.
 };
 
 }  // namespace mimosagauge::detail
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -16,6 +16,7 @@
     log_events::kDrainTimeout,
     log_events::kUpstreamEjected,
     log_events::kPoisonFound,
+    log_events::kUpstreamCrashed,
     log_events::kRequestAnswered,
     log_events::kRequestNotServed,
     log_events::kRequestAbandoned,
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -270,6 +270,7 @@
   }
   RecordRunState(record->outcome, RunState::kRan);
   record->running->has_error_status = event.head.status >= kServerError;
+  DisproveLoss(context, *record->running);
   UpdateUpstreamLoad(context, *record, event.load);
   if (const auto* id = std::get_if<UpstreamId>(&record->running->target)) {
     RecordRateLimit(context, *id, event.rate_limit);
--- a/src/decisions/gateway_poison.cc
+++ b/src/decisions/gateway_poison.cc
@@ -17,6 +17,22 @@
 constexpr Duration kNewsDelay = std::chrono::milliseconds(20);
 constexpr Duration kNewsDelayPerPeer = std::chrono::milliseconds(5);
 
+// The entry of an upstream that has crashed is removed from the store within
+// this time.
+constexpr Duration kMaxConfirmationDelay = std::chrono::seconds(10);
+
+void AddUnconfirmedLoss(Gateway& gateway, const UpstreamId& upstream,
+                        Incarnation incarnation, const RequestRecord& record,
+                        TimePoint now) {
+  UnconfirmedLoss& loss = gateway.unconfirmed_losses[upstream];
+  if (loss.incarnation != incarnation) {
+    loss = {};
+  }
+  loss.incarnation = incarnation;
+  loss.service = record.verdict.service;
+  AddLostRequest(loss, *record.arrival.head, now);
+}
+
 void ScheduleNews(Gateway& gateway, TimePoint now) {
   const auto peers = static_cast<Duration::rep>(gateway.peers.size());
   const TimePoint due = now + std::max(kNewsDelay, kNewsDelayPerPeer * peers);
@@ -98,21 +114,53 @@
   const auto* id = std::get_if<UpstreamId>(&record.running->target);
   const bool connection_lost = event.error.kind == ErrorKind::kUnavailable ||
                                event.error.kind == ErrorKind::kUnknownOutcome;
-  // Connections without a status are lost for many reasons, such as overload.
-  const bool begun = record.running->answered && !record.running->body_began;
+  if (id != nullptr && event.connection_refused) {
+    ConfirmLoss(context, *id);
+  }
   if (id == nullptr || event.run == RunState::kNotRun || !connection_lost ||
-      !begun) {
+      record.running->body_began) {
     return false;
   }
   const UpstreamState* upstream = FindUpstream(gateway.upstreams, *id);
-  RecordLostRequest(
-      gateway.poison, HashUpstreamId(*id),
-      upstream == nullptr ? Incarnation{} : upstream->config.incarnation,
-      *record.arrival.head, begun, context.now);
+  const Incarnation incarnation =
+      upstream == nullptr ? Incarnation{} : upstream->config.incarnation;
+  if (!record.running->answered) {
+    // Connections without a status are lost for many reasons, such as overload.
+    AddUnconfirmedLoss(gateway, *id, incarnation, record, context.now);
+    return false;
+  }
+  RecordLostRequest(gateway.poison, HashUpstreamId(*id), incarnation,
+                    *record.arrival.head, true, context.now);
   ScheduleNews(gateway, context.now);
   return true;
 }
 
+void ConfirmLoss(StepContext& context, const UpstreamId& upstream) {
+  Gateway& gateway = context.gateway;
+  const auto loss = gateway.unconfirmed_losses.find(upstream);
+  if (loss == gateway.unconfirmed_losses.end()) {
+    return;
+  }
+  RecordConfirmedLoss(gateway.poison, HashUpstreamId(upstream), loss->second,
+                      context.now);
+  context.effects.emplace_back(
+      WriteLog{log_events::kUpstreamCrashed,
+               {{"upstream", upstream.value()},
+                {"lost_ms", Milliseconds(context.now - loss->second.lost_at)},
+                {"requests", std::to_string(loss->second.requests.size())}}});
+  gateway.unconfirmed_losses.erase(loss);
+  ScheduleNews(gateway, context.now);
+}
+
+void DisproveLoss(StepContext& context, const Attempt& attempt) {
+  auto& losses = context.gateway.unconfirmed_losses;
+  const auto* id = std::get_if<UpstreamId>(&attempt.target);
+  const auto loss = id == nullptr ? losses.end() : losses.find(*id);
+  if (loss != losses.end() && attempt.started > loss->second.lost_at) {
+    losses.erase(loss);
+  }
+}
+
 void MarkBodyBegun(StepContext& context, RequestRecord& record) {
   Gateway& gateway = context.gateway;
   Attempt& attempt = *record.running;
@@ -120,7 +168,8 @@
       !std::holds_alternative<UpstreamId>(attempt.target)) {
     return;
   }
-  RecordSoundAnswer(gateway.poison, *record.arrival.head, context.now);
+  RecordSoundAnswer(gateway.poison, *record.arrival.head, context.now,
+                    record.verdict.service);
   ScheduleNews(gateway, context.now);
 }
 
@@ -133,6 +182,9 @@
 }
 
 void SearchForPoison(StepContext& context) {
+  std::erase_if(context.gateway.unconfirmed_losses, [&](const auto& entry) {
+    return context.now - entry.second.lost_at > kMaxConfirmationDelay;
+  });
   ApplyNewPoison(context, FindNewPoison(context.gateway.poison, context.now));
 }
 
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -188,6 +188,10 @@
       previous->config.incarnation != record.config.incarnation ||
       previous->config.endpoint != record.config.endpoint ||
       record.cold_remaining > Duration::zero();
+  if (previous != nullptr &&
+      previous->config.incarnation != record.config.incarnation) {
+    ConfirmLoss(context, record.config.id);
+  }
   AddOrUpdateUpstream(context, record);
   AssignUpstreamOwners(gateway);
   if (log_change) {
@@ -207,6 +211,7 @@
 
 void Handle(StepContext& context, UpstreamRemoved&& event) {
   context.gateway.upstream_records.erase(event.id);
+  ConfirmLoss(context, event.id);
   if (!EraseUpstream(context.gateway.upstreams, event.id)) {
     return;
   }
--- a/src/decisions/poison_content.cc
+++ b/src/decisions/poison_content.cc
@@ -77,20 +77,23 @@
 }
 
 // Adds the suspects that no later sound answer has cleared. The first suspect
-// whose answer had begun displaces those whose answers had not.
+// whose answer had begun displaces the parts of requests whose answers had not.
 // \returns The suspects that were not known before.
 std::vector<SuspectContent> AddSuspects(
     const PoisonTable& table, Crash& crash,
     const std::vector<SuspectContent>& suspects) {
   std::vector<SuspectContent> added;
   for (const SuspectContent& suspect : suspects) {
-    if (IsClearedSince(table, suspect.id, crash.occurred_at) ||
-        (crash.any_begun && !suspect.begun)) {
+    const bool displaced = crash.any_begun && !suspect.begun &&
+                           suspect.depth != kWholeRequestDepth;
+    if (displaced || IsClearedSince(table, suspect.id, crash.occurred_at)) {
       continue;
     }
     if (suspect.begun && !crash.any_begun) {
       crash.any_begun = true;
-      crash.suspects.clear();
+      std::erase_if(crash.suspects, [](const SuspectContent& other) {
+        return other.depth != kWholeRequestDepth;
+      });
     }
     const auto position = std::lower_bound(
         crash.suspects.begin(), crash.suspects.end(), suspect, LessById);
@@ -126,7 +129,9 @@
                                                  occurred_at,
                                                  {},
                                                  false,
-                                                 table.sound_answers});
+                                                 {},
+                                                 table.sound_answers,
+                                                 0});
   } else if (occurred_at > crash->occurred_at + kSameCrashWindow) {
     // The process is known to be gone. Its address still got a request.
     return {};
@@ -217,12 +222,15 @@
 struct Evidence {
   std::uint32_t depth = 0;
   std::size_t crashes = 0;
+  std::size_t begun = 0;  // Of those, after the begin of the answer.
   std::size_t groups = 0;
   std::size_t begun_groups = 0;
   std::size_t unexplained_groups = 0;
   bool in_large_group = false;
   TimePoint last_crash_at{};
-  std::uint64_t sound_answers_before = 0;  // At the first crash.
+  ServiceId service;                               // Of the first crash.
+  std::uint64_t sound_answers_before = 0;          // At the first crash.
+  std::uint64_t service_sound_answers_before = 0;  // At the first crash.
 };
 
 // Whether other poison, which requests were refused for or will be, was among
@@ -273,10 +281,14 @@
     Evidence& evidence = collected[id];
     if (evidence.groups == 0) {
       evidence.depth = occurrence.depth;
+      evidence.service = first->service;
       evidence.sound_answers_before = first->sound_answers_before;
+      evidence.service_sound_answers_before =
+          first->service_sound_answers_before;
     }
     ++evidence.groups;
     evidence.crashes += occurrence.crashes;
+    evidence.begun += occurrence.begun;
     evidence.begun_groups += occurrence.begun > 0 ? 1 : 0;
     evidence.unexplained_groups += occurrence.unexplained > 0 ? 1 : 0;
     evidence.in_large_group = evidence.in_large_group || large;
@@ -296,6 +308,28 @@
   return collected;
 }
 
+// Returns the sound answers of the service; of all if it is empty.
+[[nodiscard]] std::uint64_t SoundAnswersOf(const PoisonTable& table,
+                                           const ServiceId& service) {
+  if (service == ServiceId{}) {
+    return table.sound_answers;
+  }
+  const auto found = table.sound_answers_by_service.find(service);
+  return found == table.sound_answers_by_service.end() ? 0 : found->second;
+}
+
+// Returns the sound answers since the first crash that show that upstreams work
+// otherwise. Where no answer had begun, only those of the same service do: when
+// a service is down, all its requests are lost without a status.
+[[nodiscard]] std::uint64_t SoundAnswersSince(const PoisonTable& table,
+                                              const Evidence& evidence) {
+  if (evidence.begun > 0 || evidence.service == ServiceId{}) {
+    return table.sound_answers - evidence.sound_answers_before;
+  }
+  return SoundAnswersOf(table, evidence.service) -
+         evidence.service_sound_answers_before;
+}
+
 // Whether the evidence shows that the content is poison. `previous`: its entry
 // after an earlier refusal, or null.
 [[nodiscard]] bool IsConclusive(const PoisonTable& table,
@@ -311,8 +345,7 @@
   return frequent &&
          (!has_explained ||
           evidence.unexplained_groups >= kUnexplainedGroupsOfPoison) &&
-         table.sound_answers - evidence.sound_answers_before >=
-             kMinSoundAnswers;
+         SoundAnswersSince(table, evidence) >= kMinSoundAnswers;
 }
 
 // The later of two parts affects fewer sound requests if it is refused; among
@@ -403,6 +436,15 @@
   return true;
 }
 
+// Merges what this instance has seen of a crash, and reports it to others.
+void ReportCrash(PoisonTable& table, CrashReport report, TimePoint now) {
+  report.suspects = MergeReport(table, report, now);
+  if (!report.suspects.empty()) {
+    AppendCrash(table.news_for_region, report, now);
+    AppendCrash(table.news_for_other_regions, report, now);
+  }
+}
+
 }  // namespace
 
 std::vector<SuspectContent> ContentOf(const RequestHead& head, bool begun) {
@@ -417,7 +459,7 @@
     }
   }
   if (!head.digest.empty()) {
-    content.push_back({ContentId{whole}, 0, begun});
+    content.push_back({ContentId{whole}, kWholeRequestDepth, begun});
   }
   return content;
 }
@@ -425,17 +467,39 @@
 void RecordLostRequest(PoisonTable& table, const UpstreamHash& upstream,
                        Incarnation incarnation, const RequestHead& head,
                        bool begun, TimePoint now) {
-  CrashReport report{upstream, incarnation, {}, ContentOf(head, begun)};
-  report.suspects = MergeReport(table, report, now);
-  if (!report.suspects.empty()) {
-    AppendCrash(table.news_for_region, report, now);
-    AppendCrash(table.news_for_other_regions, report, now);
+  ReportCrash(table, {upstream, incarnation, {}, ContentOf(head, begun)}, now);
+}
+
+void AddLostRequest(UnconfirmedLoss& loss, const RequestHead& head,
+                    TimePoint now) {
+  loss.lost_at = now;
+  for (const SuspectContent& content : ContentOf(head)) {
+    if (content.depth == kWholeRequestDepth &&
+        loss.requests.size() < kMaxSuspectsPerCrash) {
+      loss.requests.push_back(content);
+    }
+  }
+}
+
+void RecordConfirmedLoss(PoisonTable& table, const UpstreamHash& upstream,
+                         const UnconfirmedLoss& loss, TimePoint now) {
+  ReportCrash(table,
+              {upstream, loss.incarnation, now - loss.lost_at, loss.requests},
+              now);
+  for (Crash& crash : table.crashes) {
+    if (crash.upstream == upstream && crash.service == ServiceId{}) {
+      crash.service = loss.service;
+      crash.service_sound_answers_before = SoundAnswersOf(table, loss.service);
+    }
   }
 }
 
 void RecordSoundAnswer(PoisonTable& table, const RequestHead& head,
-                       TimePoint now) {
+                       TimePoint now, const ServiceId& service) {
   ++table.sound_answers;
+  if (service != ServiceId{}) {
+    ++table.sound_answers_by_service[service];
+  }
   if (table.crashes.empty() && table.poison.empty()) {
     return;
   }
--- a/src/duties/upstreams/attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -124,6 +124,7 @@
     return;
   }
   if (error) {
+    connection_refused_ = error == asio::error::connection_refused;
     Fail(ErrorKind::kUnavailable,
          "cannot connect to the upstream: " + error.message(),
          "check that the upstream is running");
@@ -568,7 +569,8 @@
                              {kind, std::move(message), std::move(remedy)},
                              std::nullopt,
                              misdirected_,
-                             rate_limit_});
+                             rate_limit_,
+                             connection_refused_});
   Close();
 }
 
--- a/tests/support/fleet_gateway.cc
+++ b/tests/support/fleet_gateway.cc
@@ -128,6 +128,7 @@
   head->prompt = request.prompt;
   head->revision = request.revision;
   head->runs = request.runs;
+  head->digest = ContentDigest{request.digest};
   if (request.origin == Origin::kLink) {
     head->path = {{RegionId{"mombasa"}, "mombasa-1"}};
   }
--- a/tests/support/fleet_gateway.h
+++ b/tests/support/fleet_gateway.h
@@ -23,6 +23,7 @@
   Prompt prompt;
   std::size_t runs = 0;  ///< Elsewhere, before; from another instance only.
   Revision revision{1};  ///< Of the sender; from another instance only.
+  std::string digest{};  ///< Of method, target and body; empty: none.
 };
 
 /// \brief One instance of region `nairobi`, `nairobi-1` by default, that knows
--- a/tests/unit/poison_parts_test.cc
+++ b/tests/unit/poison_parts_test.cc
@@ -364,6 +364,96 @@
   CHECK(FindPoison(table, head, now) == nullptr);
 }
 
+// The plain service's instances crash before they send a status; each is back
+// as a new process. Returns the requests of the content that reached one.
+struct DeskCrashes {
+  bool confirmed = true;     // The upstream's process is known to have ended.
+  bool refused = false;      // Known by a refused connection, not by its entry.
+  bool others_sound = true;  // Other requests of the service are answered.
+  bool answered = false;     // So is the content, once in each round.
+};
+
+int CountDeadlyArrivals(const DeskCrashes& crashes) {
+  constexpr int kRounds = 20;
+  FleetGateway world;
+  world.Upstream("engine", "engines");
+  int desks = 0;
+  for (int i = 0; i < 3; ++i) {
+    world.Upstream("desk-" + std::to_string(++desks), "desk");
+  }
+  FleetRequest deadly;
+  deadly.path = "/status/4711";
+  deadly.digest = std::string(64, 'd');
+  int arrivals = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    if (crashes.answered) {
+      const auto [number, effects] = world.Request(deadly);
+      if (const auto start = Find<StartUpstreamAttempt>(effects)) {
+        world.Answer(start->attempt);
+      }
+    }
+    auto [number, effects] = world.Request(deadly);
+    for (auto start = Find<StartUpstreamAttempt>(effects); start;
+         start = Find<StartUpstreamAttempt>(effects)) {
+      ++arrivals;
+      world.Pass(milliseconds(20));
+      effects = world.Fail(start->attempt, RunState::kUnknown);
+      if (crashes.confirmed) {
+        if (crashes.refused) {
+          // Another request finds that nothing listens at the address.
+          FleetRequest other;
+          other.path = "/status/other";
+          const auto probe =
+              Find<StartUpstreamAttempt>(world.Request(other).second);
+          if (probe && probe->upstream == start->upstream) {
+            AttemptFailed failure{probe->attempt,
+                                  RunState::kNotRun,
+                                  {ErrorKind::kUnavailable, "refused", ""},
+                                  {}};
+            failure.connection_refused = true;
+            world.Give(failure);
+          }
+        }
+        world.Give(UpstreamRemoved{start->upstream});
+        world.Upstream("desk-" + std::to_string(++desks), "desk");
+      }
+    }
+    for (int i = 0; i < 20; ++i) {
+      FleetRequest sound;
+      sound.path = crashes.others_sound ? "/status/sound" : "/size/sound";
+      sound.digest = std::string(64, 's');
+      const auto start =
+          Find<StartUpstreamAttempt>(world.Request(sound).second);
+      if (start) {
+        world.Answer(start->attempt);
+      }
+    }
+    world.Pass(milliseconds(700));
+  }
+  return arrivals;
+}
+
+// Guards against: a request that crashed a plain service's upstreams before
+// they sent a status was never found, and reached them for as long as it came.
+TEST_CASE("a request that crashes upstreams before their status is found") {
+  struct Case {
+    std::string what;
+    DeskCrashes crashes;
+    bool found;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"the upstreams' entries are removed", {}, true},
+      {"their addresses refuse connections", {true, true}, true},
+      {"answers are lost, and the upstreams run on", {false}, false},
+      {"nothing else of the service is answered", {true, false, false}, false},
+      {"it is answered in between", {true, false, true, true}, false},
+  }));
+  CAPTURE(one.what);
+  const int arrivals = CountDeadlyArrivals(one.crashes);
+  // Two attempts of each of three requests.
+  CHECK((arrivals <= 6) == one.found);
+}
+
 // Guards against: upstreams that lose power together, or come back together and
 // reset their connections, make popular parts look like poison.
 TEST_CASE("a power loss seen over half a second makes no part poison") {
