Start the retry budgets of a process empty

Operators saw more repeats at upstreams in 10 s than the shared bound allows (BUDGET), on deployments of 6 to 8 and of 71 instances as real processes.

Cause: each process started with a full share of the slack. Ruled out, by cases without restarts that stay below the instances' own 60 % of the bound: shares from a wrong number of instances (store outages), and attempts that reached upstreams without a token (frozen instances and upstreams).

Change: under the operators' configuration a budget starts empty, so a start adds nothing to the bound; the budget of a service that only a route names no longer has the default of 10 tokens.

The test gateway starts with full budgets unless it says otherwise, as its tests are about retries, not starts.

--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -149,6 +149,12 @@
 /// recorded for an engine.
 void MarkPromptRead(StepContext& context, Attempt& attempt, bool answered);
 
+/// \returns The retry budget of the service. Under the operators' configuration
+/// a new budget is empty: an instance that has just started may have spent its
+/// share before, in the same time window.
+[[nodiscard]] RetryBudget& RetryBudgetOf(Gateway& gateway,
+                                         const ServiceId& service);
+
 /// \brief Updates this instance's share of what the instances divide among
 /// themselves: the cold upstreams and the retry budgets.
 void UpdateInstanceShares(Gateway& gateway);
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -302,7 +302,7 @@
   const RequestNumber number = record.arrival.number;
   ++MetricsOf(gateway, record).requests;
   if (record.arrival.origin == Origin::kCaller) {
-    CreditFirstAttempt(gateway.budgets[record.verdict.service]);
+    CreditFirstAttempt(RetryBudgetOf(gateway, record.verdict.service));
   }
   gateway.deadlines.emplace(record.due, number);
   const bool keyed =
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -106,11 +106,11 @@
   if (run == RunState::kNotRun) {
     const bool spends_budget =
         reached_upstream && context.gateway.catalogue != nullptr;
-    return !spends_budget ||
-           TrySpendRetry(context.gateway.budgets[record.verdict.service]);
+    return !spends_budget || TrySpendRetry(RetryBudgetOf(
+                                 context.gateway, record.verdict.service));
   }
   return record.verdict.idempotent &&
-         TrySpendRetry(context.gateway.budgets[record.verdict.service]);
+         TrySpendRetry(RetryBudgetOf(context.gateway, record.verdict.service));
 }
 
 // Returns whether a broken stream may be continued on another upstream. The
@@ -119,7 +119,7 @@
                                const RequestRecord& record) {
   return record.resumable && record.verdict.idempotent &&
          record.verdict.resumable && HasTimeAndAttemptsLeft(context, record) &&
-         TrySpendRetry(context.gateway.budgets[record.verdict.service]);
+         TrySpendRetry(RetryBudgetOf(context.gateway, record.verdict.service));
 }
 
 [[nodiscard]] Problem FailureProblem(RequestRecord& record,
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -87,6 +87,14 @@
   }
 }
 
+void UpdateRetryShare(const Gateway& gateway, RetryBudget& budget) {
+  // Instances whose links are down are counted too, because they may be using
+  // their share of the budget.
+  const GatewayLimits& limits = gateway.config.limits;
+  SetInstanceShare(budget, {limits.retry_ratio, limits.retry_slack},
+                   gateway.peers.size() + 1);
+}
+
 void AddOrUpdateUpstream(StepContext& context, const UpstreamRecord& record) {
   Gateway& gateway = context.gateway;
   const UpstreamParameters terms = TermsOf(gateway, record);
@@ -138,18 +146,22 @@
   }
 }
 
+RetryBudget& RetryBudgetOf(Gateway& gateway, const ServiceId& service) {
+  const auto [entry, created] = gateway.budgets.try_emplace(service);
+  if (created && gateway.catalogue != nullptr) {
+    entry->second.tokens = 0;
+    UpdateRetryShare(gateway, entry->second);
+  }
+  return entry->second;
+}
+
 void UpdateInstanceShares(Gateway& gateway) {
   AssignUpstreamOwners(gateway);
   if (gateway.catalogue == nullptr) {
     return;
   }
-  // Instances whose links are down are counted too, because they may be using
-  // their share of the budget.
-  const std::size_t instances = gateway.peers.size() + 1;
-  const GatewayLimits& limits = gateway.config.limits;
   for (auto& [service, budget] : gateway.budgets) {
-    SetInstanceShare(budget, {limits.retry_ratio, limits.retry_slack},
-                     instances);
+    UpdateRetryShare(gateway, budget);
   }
 }
 
@@ -164,7 +176,7 @@
   gateway.last_view_at = TimePoint{};
   gateway.all_services_freed = true;
   for (const auto& [service, profile] : gateway.catalogue->services) {
-    gateway.budgets.try_emplace(service);
+    static_cast<void>(RetryBudgetOf(gateway, service));
   }
   for (auto& [id, record] : gateway.upstream_records) {
     record.cold_remaining =
--- a/tests/support/fleet_gateway.cc
+++ b/tests/support/fleet_gateway.cc
@@ -74,9 +74,15 @@
   return catalogue;
 }
 
-FleetGateway::FleetGateway(const std::string& instance)
+FleetGateway::FleetGateway(const std::string& instance, bool just_started)
     : gateway_(MakeGateway(Config(instance), now_, kSeed)) {
   Give(CatalogueReceived{std::make_shared<const RouteCatalogue>(Catalogue(1))});
+  if (just_started) {
+    return;
+  }
+  for (auto& [service, budget] : gateway_.budgets) {
+    budget.tokens = budget.token_limit;
+  }
 }
 
 std::vector<Effect> FleetGateway::Give(Event event) {
--- a/tests/support/fleet_gateway.h
+++ b/tests/support/fleet_gateway.h
@@ -33,7 +33,10 @@
 /// plain service).
 class FleetGateway {
  public:
-  explicit FleetGateway(const std::string& instance = "nairobi-1");
+  /// \param just_started Whether its retry budgets are empty; otherwise they
+  /// are full, as after a time without failures.
+  explicit FleetGateway(const std::string& instance = "nairobi-1",
+                        bool just_started = false);
 
   /// \brief Gives it an event; time stands still.
   std::vector<Effect> Give(Event event);
