Decode odd entries of other writers within bounds

Operators of other systems saw instances end, or stop following the list, at an entry that was nested deeply or had a number or port out of range.

Here: numbers beyond 64 bits were converted without a bound (undefined; 1.8e19 slots, an unbounded cold time), port 0 was accepted, and a line break in an upstream's key became part of the header of each request sent to it. Deep lists and objects and other ports were handled.

--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/store/json_document.h"
 
 namespace mimosagauge {
 namespace {
@@ -363,7 +364,7 @@
   if (id == settings_.instance.value()) {
     return;
   }
-  const auto document = nlohmann::json::parse(entry.value, nullptr, false);
+  const auto document = ParseJsonDocument(entry.value);
   const bool valid = document.is_object();
   const auto entry_at =
       ParseEndpoint(valid ? StringField(document, "entry") : "");
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -60,6 +60,66 @@
   CHECK_FALSE(platform::Fleet().decode_configuration(text));
 }
 
+// Guards against: an odd entry of another writer ends the instances that read
+// it, by its depth or by a number that no type holds.
+TEST_CASE("odd entries are decoded within bounds") {
+  const std::string begin =
+      R"({"service":"s","addr":"10.1.0.9:80","zone":"z","state":"ready",)";
+  struct Case {
+    std::string what;
+    std::string fields;
+    bool used;
+  };
+  constexpr std::size_t kDepth = 400000;
+  const std::string open_lists(kDepth, '[');
+  const std::string close_lists(kDepth, ']');
+  std::string objects;
+  for (std::size_t i = 0; i < kDepth / 8; ++i) {
+    objects += R"({"a":)";
+  }
+  const Case one = GENERATE_COPY(values<Case>({
+      {"nested lists", R"("slots":4,"x":)" + open_lists + close_lists, true},
+      {"nested lists without an end", R"("slots":4,"x":)" + open_lists, false},
+      {"nested objects",
+       R"("slots":4,"x":)" + objects + "1" + std::string(kDepth / 8, '}'),
+       true},
+      {"a list in place of the models",
+       R"("slots":4,"models":)" + open_lists + close_lists, true},
+      {"slots beyond all types", R"("slots":1e300)", false},
+      {"slots beyond a double", R"("slots":1e400)", false},
+      {"slots of 64 bits", R"("slots":18446744073709551615)", false},
+      {"a cold time beyond all types", R"("slots":4,"coldLeftMs":1e300)", true},
+      {"a cold time of 64 bits",
+       R"("slots":4,"coldLeftMs":18446744073709551615)", true},
+      {"a start beyond all types", R"("slots":4,"born":1e300)", true},
+      {"a start before 1970", R"("slots":4,"born":-1e300)", true},
+  }));
+  CAPTURE(one.what);
+  const auto read =
+      platform::Fleet().decode_upstream("i-1", begin + one.fields + "}");
+  REQUIRE(read.has_value() == one.used);
+  if (read) {
+    CHECK(read.value().config.concurrency == 4);
+    CHECK(read.value().cold_remaining == Duration::zero());
+    CHECK(read.value().config.incarnation == Incarnation{});
+  }
+}
+
+TEST_CASE("an entry with an address or id that cannot be used is refused") {
+  const auto [id, address] = GENERATE(table<std::string, std::string>({
+      {"i-1", "10.1.0.9:70000"},
+      {"i-1", "10.1.0.9:-1"},
+      {"i-1", "10.1.0.9:0"},
+      {"i-1", "10.1.0.9:99999999999999999999"},
+      {"i-1", "10.1.0.999:80"},
+      {"i-1\r\nX-Other: 1", "10.1.0.9:80"},
+  }));
+  CAPTURE(id, address);
+  CHECK_FALSE(platform::Fleet().decode_upstream(
+      id, R"({"service":"s","zone":"z","state":"ready","slots":4,"addr":")" +
+              address + R"("})"));
+}
+
 TEST_CASE("an upstream's entry names one to use only when it holds") {
   struct Case {
     std::string text;
