Bound the incomplete events of all attempts together

Operators of other systems saw an instance run out of memory at an upstream that sent bytes without end, and the requests of other callers end with it.

Here each answer was bounded, an event by 1 MiB. 128 attempts at one engine could still buffer 128 MiB, which is more than the smallest instances have.

Change: the limit of an attempt is an eighth of limits.memory, divided by the attempts in progress, between 16 KiB and 1 MiB.

The test failed before: an event of 600 KiB with a memory of 4 MiB was passed.

--- a/include/mimosagauge/impl/duties/upstreams/server.h
+++ b/include/mimosagauge/impl/duties/upstreams/server.h
@@ -36,6 +36,9 @@
   [[nodiscard]] const UpstreamDialect& dialect() const noexcept {
     return dialect_;
   }
+  /// \returns The number of bytes of an incomplete event that an attempt may
+  /// buffer. All attempts together stay within a part of the process's memory.
+  [[nodiscard]] std::size_t max_partial_event() const noexcept;
   void Post(Event event) { decisions_.Post(std::move(event)); }
   void RemoveAttempt(AttemptNumber attempt) { attempts_.erase(attempt); }
 
--- a/src/duties/upstreams/attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -34,7 +34,6 @@
 constexpr std::size_t kReadBytes = 8UL * 1024;
 constexpr std::size_t kWriteBytes = 64UL * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64U * 1024;
-constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 // Body bytes that count as progress of an answer without events.
 constexpr std::size_t kMinBodyProgress = 1024;
 constexpr int kMaxInterimAnswers = 8;
@@ -424,9 +423,9 @@
     RestartProgressPeriod();
     bytes_without_progress_ = event_splitter_.partial_bytes();
   }
-  if (bytes_without_progress_ > kMaxEventBytes) {
+  if (bytes_without_progress_ > server_.max_partial_event()) {
     Fail(ErrorKind::kInvalidInput,
-         "the upstream sent more than 1 MiB without the end of an event",
+         "the upstream sent too many bytes without the end of an event",
          kCheckUpstreamLog);
     return false;
   }
--- a/src/duties/upstreams/server.cc
+++ b/src/duties/upstreams/server.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -19,6 +20,10 @@
 constexpr std::chrono::nanoseconds kMinSweepInterval =
     std::chrono::milliseconds(5);
 constexpr int kSweepsPerTimeout = 8;
+constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+constexpr std::size_t kMinEventLimit = 16UL * 1024;
+// Incomplete events may use this part of the process's memory limit.
+constexpr std::size_t kEventMemoryDivisor = 8;
 
 }  // namespace
 
@@ -36,6 +41,16 @@
   }
 }
 
+std::size_t UpstreamServer::max_partial_event() const noexcept {
+  const std::size_t memory = settings_.limits.memory.count();
+  if (memory == 0) {
+    return kMaxEventBytes;
+  }
+  const std::size_t attempts = std::max<std::size_t>(1, attempts_.size());
+  return std::clamp(memory / kEventMemoryDivisor / attempts, kMinEventLimit,
+                    kMaxEventBytes);
+}
+
 void UpstreamServer::Start() { Sweep(); }
 
 void UpstreamServer::Handle(UpstreamEffect&& effect) {
--- a/tests/support/upstream_rig.h
+++ b/tests/support/upstream_rig.h
@@ -77,10 +77,12 @@
 class UpstreamRig {
  public:
   /// \param silence Value of `limits.silence`.
+  /// \param memory Value of `limits.memory`; zero: not known.
   UpstreamRig(std::uint16_t port, UpstreamKind kind,
               const UpstreamDialect& dialect = DefaultUpstreamDialect(),
-              Duration silence = std::chrono::milliseconds(300))
-      : settings_(MakeSettings(port, kind, silence)),
+              Duration silence = std::chrono::milliseconds(300),
+              Bytes memory = {})
+      : settings_(MakeSettings(port, kind, silence, memory)),
         events_(upstreams_.io(), decisions_.io(), kRing),
         effects_(decisions_.io(), upstreams_.io(), kRing),
         duty_(upstreams_.io(), settings_, events_, dialect) {
@@ -188,8 +190,9 @@
 
   [[nodiscard]] static Settings MakeSettings(std::uint16_t port,
                                              UpstreamKind kind,
-                                             Duration silence) {
+                                             Duration silence, Bytes memory) {
     Settings settings;
+    settings.limits.memory = memory;
     settings.limits.silence = silence;
     UpstreamSettings upstream;
     upstream.id = UpstreamId{"u"};
--- a/tests/unit/endless_answer_test.cc
+++ b/tests/unit/endless_answer_test.cc
@@ -103,6 +103,35 @@
   CHECK(taken < kMostTaken);
 }
 
+// Guards against: events without end at many connections, each within its own
+// limit, together exceeded the memory of a small instance.
+TEST_CASE("incomplete events stay within a part of the process's memory") {
+  struct Case {
+    Bytes memory;
+    std::size_t event_bytes;
+    bool passed;
+  };
+  const Case one = GENERATE(values<Case>({
+      {Bytes{}, 600UL * 1024, true},
+      {Bytes{120 * kMebibyte}, 600UL * 1024, true},
+      {Bytes{4 * kMebibyte}, 600UL * 1024, false},
+      {Bytes{4 * kMebibyte}, 100UL * 1024, true},
+      {Bytes{1024}, 12UL * 1024, true},
+  }));
+  CAPTURE(one.memory.count(), one.event_bytes);
+  ScriptedUpstream upstream({[&one](RawSocket& connection) {
+    TakeRequest(connection);
+    connection.Send(kEvents + "data: " + std::string(one.event_bytes, 'a') +
+                    "\n\ndata: [DONE]\n\n");
+    connection.Close();
+  }});
+  UpstreamRig rig(upstream.port(), UpstreamKind::kEngine,
+                  DefaultUpstreamDialect(), seconds(30), one.memory);
+  rig.ConsumeBodies();
+  CHECK(FailedAs(rig.Run(true)) ==
+        (one.passed ? std::nullopt : std::optional(RunState::kRan)));
+}
+
 TEST_CASE("requests beside an endless answer are answered") {
   std::atomic<std::size_t> taken{0};
   std::atomic<bool> answered{false};
