Test: requests that come late in a planned stop are refused as not run

Operators of other systems saw requests that were taken late in the grace and cut at its end. Here an instance refuses what comes after limits.leave_notice with 503, not run; the test passed at once and guards that.

--- a/tests/unit/fleet_gateway_test.cc
+++ b/tests/unit/fleet_gateway_test.cc
@@ -619,5 +619,33 @@
   CHECK(world.gateway().peers.empty());
 }
 
+// Guards against: requests that come late in a planned stop are passed on and
+// cut off at its end.
+TEST_CASE("requests that come late in a planned stop are refused as not run") {
+  const Duration at =
+      GENERATE(milliseconds(0), milliseconds(1400), milliseconds(1600),
+               seconds(3), milliseconds(4900));
+  CAPTURE(at.count());
+  FleetGateway world;
+  world.Upstream("desk-1", "desk");
+  FleetRequest request;
+  request.path = "/deposit/1";
+  // A request in progress keeps the instance running.
+  const auto before = Find<StartUpstreamAttempt>(world.Request(request).second);
+  REQUIRE(before);
+  world.Give(DrainRequested{});
+  world.Pass(at);
+  const auto effects = world.Request(request).second;
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  const auto problem = Find<SendProblem>(effects);
+  const bool is_late = at > milliseconds(1500);
+  CHECK(start.has_value() != is_late);
+  REQUIRE(problem.has_value() == is_late);
+  if (problem) {
+    CHECK(problem->problem.status == 503);
+    CHECK(problem->problem.run == RunState::kNotRun);
+  }
+}
+
 }  // namespace
 }  // namespace mimosagauge
