Revoke a registration that completes after the instance has begun to stop

An instance that stops while its registration is on the way had no lease to revoke yet, and stayed registered until the lease expired.

The test failed before: the lease was not revoked.

--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -85,6 +85,7 @@
   void WriteRegistration(LeaseId lease);
   void ScheduleRenewal(Duration delay, bool register_again);
   void RenewLease();
+  void RevokeRegistration();
   [[nodiscard]] std::string RegistrationKey() const;
   [[nodiscard]] std::string RegistrationValue() const;
 
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -133,6 +133,9 @@
           return ScheduleRenewal(times_.retry, true);
         }
         lease_ = lease;
+        if (leaving_) {
+          return RevokeRegistration();
+        }
         Log(log_events::kRegistered, {{"key", RegistrationKey()}});
         ScheduleRenewal(settings_.session / kRenewalsPerSession, false);
       });
@@ -172,10 +175,14 @@
   leaving_ = true;
   renewal_timer_.cancel();
   if (lease_ != LeaseId{}) {
-    store_->Revoke(lease_, [](Result<LeaseId>&& /*ended*/) {});
+    RevokeRegistration();
   }
 }
 
+void FleetDuty::RevokeRegistration() {
+  store_->Revoke(lease_, [](Result<LeaseId>&& /*ended*/) {});
+}
+
 // Reads and polls of the store.
 
 void FleetDuty::RunAfter(Duration delay, void (FleetDuty::*next_step)()) {
--- a/tests/support/platform_store.cc
+++ b/tests/support/platform_store.cc
@@ -105,6 +105,10 @@
   });
 }
 
+bool PlatformStore::Contains(const std::string& key) {
+  return OnThread([&] { return items_.count(key) > 0; });
+}
+
 void PlatformStore::Compact() {
   OnThread([this] {
     compacted_revision_ = revision_;
--- a/tests/support/platform_store.h
+++ b/tests/support/platform_store.h
@@ -36,6 +36,7 @@
   /// \brief Writes an item, as the operator and the upstreams do.
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  [[nodiscard]] bool Contains(const std::string& key);
   /// \brief Polls that start before the newest revision are answered 410.
   void Compact();
   /// \brief Sets the time from the arrival of a call to its answer.
--- a/tests/unit/fleet_duty_test.cc
+++ b/tests/unit/fleet_duty_test.cc
@@ -127,6 +127,26 @@
                 "slots":4,"state":"ready","coldLeftMs":0,"seq":1})");
 }
 
+// Guards against: an instance that stops while it registers stays registered
+// until its lease expires.
+TEST_CASE("an instance that stops while it registers is not registered") {
+  // The registration is a call for the lease and one that writes the entry.
+  const std::string call = GENERATE("kv-lease", "kv-txn");
+  CAPTURE(call);
+  PlatformStore store;
+  PutWorld(store);
+  store.SetDelay(milliseconds(150));
+  RunningFleetDuty duty(store);
+  REQUIRE(WaitUntil([&] { return store.CallCount(call) == 1; }));
+  duty.Leave();
+  store.SetDelay(milliseconds(0));
+  REQUIRE(WaitUntil([&] {
+    return call == "kv-lease" || store.CallCount("kv-lease-end") == 1;
+  }));
+  REQUIRE(WaitUntil([&] { return duty.Known().size() == 2; }));
+  CHECK_FALSE(store.Contains("mimosagauge/instances/front-1"));
+}
+
 // Guards against an evacuation, or all upstreams, being forgotten when the
 // store is to be read anew and the watch is reopened during that read.
 TEST_CASE("reopening the watch during a read of the store forgets nothing") {
