--- a/tests/process/platform_fleet_test.cc
+++ b/tests/process/platform_fleet_test.cc
@@ -217,7 +217,7 @@
             << Describe(own) << std::endl;
   INFO(fleet.Outputs());
   CAPTURE(fleet_case.name, seed);
-  CHECK(fleet.journal().arrivals().size() > 0);
+  CHECK_FALSE(fleet.journal().arrivals().empty());
   CHECK(worst.excess() <= 0);
 }
 
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -161,8 +161,9 @@
       random_(static_cast<unsigned>(std::hash<std::string>{}(id_))) {
   server_ = std::make_unique<StandinServer>(
       io_context_, Endpoint{"127.0.0.1", 0},
-      [this](const StandinRequest& request, StandinConnectionPtr connection) {
-        Answer(request, std::move(connection));
+      [this](const StandinRequest& request,
+             const StandinConnectionPtr& connection) {
+        Answer(request, connection);
       });
   thread_ = std::thread([this] { io_context_.run(); });
 }
@@ -187,7 +188,7 @@
 }
 
 void FleetUpstream::Answer(const StandinRequest& request,
-                           StandinConnectionPtr connection) {
+                           const StandinConnectionPtr& connection) {
   const std::string request_id(request["X-Mimosagauge-Request-Id"]);
   const std::string echo = "X-Mimosagauge-Request-Id: " + request_id + "\r\n";
   if (request["X-Mimosagauge-Expect-Instance"] != id_) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -100,7 +100,8 @@
   void Freeze(std::chrono::milliseconds duration);
 
  private:
-  void Answer(const StandinRequest& request, StandinConnectionPtr connection);
+  void Answer(const StandinRequest& request,
+              const StandinConnectionPtr& connection);
 
   std::string id_;
   std::string zone_;
--- a/tests/support/platform_store.cc
+++ b/tests/support/platform_store.cc
@@ -76,8 +76,8 @@
 PlatformStore::PlatformStore()
     : server_(io_context_, {"127.0.0.1", 0},
               [this](const StandinRequest& request,
-                     StandinConnectionPtr connection) {
-                Handle(request, std::move(connection));
+                     const StandinConnectionPtr& connection) {
+                Handle(request, connection);
               }),
       expiry_timer_(io_context_) {
   ScheduleExpiry();
@@ -133,7 +133,7 @@
 }
 
 void PlatformStore::Handle(const StandinRequest& request,
-                           StandinConnectionPtr connection) {
+                           const StandinConnectionPtr& connection) {
   const std::string target(request.target());
   const std::size_t mark = std::min(target.find('?'), target.size());
   const std::string path = target.substr(0, mark);
@@ -145,18 +145,18 @@
   const std::string id = path.substr(path.rfind('/') + 1);
   ++call_counts_[call];
   if (down_) {
-    return Answer(std::move(connection), kUnavailable, json::object());
+    return Answer(connection, kUnavailable, json::object());
   }
   if (call == "kv-range") {
-    return Answer(std::move(connection), kOk, Range(query));
+    return Answer(connection, kOk, Range(query));
   }
   if (call == "kv-watch") {
-    return Poll(query, std::move(connection));
+    return Poll(query, connection);
   }
   if (call == "kv-txn") {
     json body = json::object();
     const unsigned status = Transact(json::parse(request.body()), body);
-    Answer(std::move(connection), status, body);
+    Answer(connection, status, body);
     return AnswerPolls();
   }
   if (call == "kv-lease") {
@@ -164,24 +164,23 @@
         json::parse(request.body()).at("ttlMs").get<int>());
     const std::uint64_t lease = next_lease_++;
     leases_[lease] = {lifetime, Clock::now() + lifetime};
-    return Answer(std::move(connection), kOk,
+    return Answer(connection, kOk,
                   {{"lease", lease}, {"ttlMs", lifetime.count()}});
   }
   const auto lease = leases_.find(NumberIn(id));
   if (lease == leases_.end()) {
-    return Answer(std::move(connection), kNotFound, json::object());
+    return Answer(connection, kNotFound, json::object());
   }
   if (call == "kv-keep") {
     lease->second.end = Clock::now() + lease->second.lifetime;
-    return Answer(std::move(connection), kOk,
-                  {{"ttlMs", lease->second.lifetime.count()}});
+    return Answer(connection, kOk, {{"ttlMs", lease->second.lifetime.count()}});
   }
   EndLease(lease->first);
-  Answer(std::move(connection), kOk, json::object());
+  Answer(connection, kOk, json::object());
 }
 
-void PlatformStore::Answer(StandinConnectionPtr connection, unsigned status,
-                           const json& body) {
+void PlatformStore::Answer(const StandinConnectionPtr& connection,
+                           unsigned status, const json& body) {
   if (delay_.count() == 0) {
     return connection->Whole(status, "application/json", body.dump());
   }
@@ -206,15 +205,16 @@
   return {{"items", items}, {"hasMore", false}, {"storeRevision", revision_}};
 }
 
-void PlatformStore::Poll(const Query& query, StandinConnectionPtr connection) {
+void PlatformStore::Poll(const Query& query,
+                         const StandinConnectionPtr& connection) {
   WaitingPoll poll;
   poll.after = NumberIn(Parameter(query, "after"));
   poll.prefix = Parameter(query, "prefix");
   poll.end = Clock::now() +
              std::chrono::milliseconds(NumberIn(Parameter(query, "waitMs")));
-  poll.connection = std::move(connection);
+  poll.connection = connection;
   if (poll.after < compacted_revision_) {
-    return Answer(std::move(poll.connection), kGone, json::object());
+    return Answer(connection, kGone, json::object());
   }
   polls_.push_back(std::move(poll));
   AnswerPolls();
--- a/tests/support/platform_store.h
+++ b/tests/support/platform_store.h
@@ -80,10 +80,11 @@
     return result.get();
   }
 
-  void Handle(const StandinRequest& request, StandinConnectionPtr connection);
-  void Answer(StandinConnectionPtr connection, unsigned status,
+  void Handle(const StandinRequest& request,
+              const StandinConnectionPtr& connection);
+  void Answer(const StandinConnectionPtr& connection, unsigned status,
               const nlohmann::json& body);
-  void Poll(const Query& query, StandinConnectionPtr connection);
+  void Poll(const Query& query, const StandinConnectionPtr& connection);
   void AnswerPolls();
   [[nodiscard]] nlohmann::json Range(const Query& query) const;
   [[nodiscard]] nlohmann::json EventsFor(const WaitingPoll& poll) const;
