--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -124,7 +124,7 @@
     }
   }
   RepeatWindow worst;
-  worst.allowed = slack;
+  bool found = false;
   // A window with the largest excess begins at a repeat or ends at one; of
   // these, the ones that end at a repeat have at most as many requests.
   for (const auto& repeat : repeats) {
@@ -142,8 +142,9 @@
       window.allowed = ratio * static_cast<double>(window.requests) + slack;
       window.seconds =
           std::chrono::duration<double>(begin - sent.front()).count();
-      if (window.excess() > worst.excess()) {
+      if (!found || window.excess() > worst.excess()) {
         worst = window;
+        found = true;
       }
     }
   }
