Keep crashes without a status out of the groups of the others

Change: the groups for parts are formed as before confirmed losses existed; those of whole requests are formed from all crashes.

--- a/src/decisions/poison_content.cc
+++ b/src/decisions/poison_content.cc
@@ -244,14 +244,15 @@
                      });
 }
 
-using CrashIterator = std::deque<Crash>::const_iterator;
+using CrashList = std::vector<const Crash*>;
+using CrashIterator = CrashList::const_iterator;
 
 // Returns the end of the group that begins at `first`.
 [[nodiscard]] CrashIterator EndOfGroup(const CrashIterator& first,
                                        const CrashIterator& end) {
   auto last = first;
   for (auto next = std::next(first); next != end; ++next) {
-    if (next->occurred_at - last->occurred_at >= kMinGroupInterval) {
+    if ((*next)->occurred_at - (*last)->occurred_at >= kMinGroupInterval) {
       return next;
     }
     last = next;
@@ -264,12 +265,12 @@
               std::map<ContentId, Evidence>& collected) {
   std::map<ContentId, Occurrence> occurrences;
   for (auto crash = first; crash != end; ++crash) {
-    for (const SuspectContent& suspect : crash->suspects) {
+    for (const SuspectContent& suspect : (*crash)->suspects) {
       Occurrence& occurrence = occurrences[suspect.id];
       occurrence.depth = suspect.depth;
       ++occurrence.crashes;
       occurrence.begun += suspect.begun ? 1 : 0;
-      occurrence.unexplained += IsExplained(table, *crash, suspect.id) ? 0 : 1;
+      occurrence.unexplained += IsExplained(table, **crash, suspect.id) ? 0 : 1;
     }
   }
   const auto size = static_cast<std::size_t>(end - first);
@@ -281,10 +282,10 @@
     Evidence& evidence = collected[id];
     if (evidence.groups == 0) {
       evidence.depth = occurrence.depth;
-      evidence.service = first->service;
-      evidence.sound_answers_before = first->sound_answers_before;
+      evidence.service = (*first)->service;
+      evidence.sound_answers_before = (*first)->sound_answers_before;
       evidence.service_sound_answers_before =
-          first->service_sound_answers_before;
+          (*first)->service_sound_answers_before;
     }
     ++evidence.groups;
     evidence.crashes += occurrence.crashes;
@@ -292,22 +293,55 @@
     evidence.begun_groups += occurrence.begun > 0 ? 1 : 0;
     evidence.unexplained_groups += occurrence.unexplained > 0 ? 1 : 0;
     evidence.in_large_group = evidence.in_large_group || large;
-    evidence.last_crash_at = std::prev(end)->occurred_at;
+    evidence.last_crash_at = (*std::prev(end))->occurred_at;
   }
 }
 
-[[nodiscard]] std::map<ContentId, Evidence> CollectEvidence(
-    const PoisonTable& table) {
+[[nodiscard]] std::map<ContentId, Evidence> CollectFrom(
+    const PoisonTable& table, const CrashList& crashes) {
   std::map<ContentId, Evidence> collected;
-  auto first = table.crashes.cbegin();
-  while (first != table.crashes.cend()) {
-    const auto end = EndOfGroup(first, table.crashes.cend());
+  auto first = crashes.begin();
+  while (first != crashes.end()) {
+    const auto end = EndOfGroup(first, crashes.end());
     AddGroup(table, first, end, collected);
     first = end;
   }
   return collected;
 }
 
+// Whether only whole requests, lost without a status, are suspects.
+[[nodiscard]] bool HasOnlyWholeRequests(const Crash& crash) {
+  return !crash.any_begun && !crash.suspects.empty() &&
+         std::all_of(crash.suspects.begin(), crash.suspects.end(),
+                     [](const SuspectContent& suspect) {
+                       return suspect.depth == kWholeRequestDepth;
+                     });
+}
+
+// Crashes without a status are evidence against whole requests only, and do not
+// change the groups of the others.
+[[nodiscard]] std::map<ContentId, Evidence> CollectEvidence(
+    const PoisonTable& table) {
+  CrashList all;
+  CrashList with_parts;
+  for (const Crash& crash : table.crashes) {
+    all.push_back(&crash);
+    if (!HasOnlyWholeRequests(crash)) {
+      with_parts.push_back(&crash);
+    }
+  }
+  auto collected = CollectFrom(table, with_parts);
+  if (all.size() == with_parts.size()) {
+    return collected;
+  }
+  for (const auto& [id, evidence] : CollectFrom(table, all)) {
+    if (evidence.depth == kWholeRequestDepth) {
+      collected.insert_or_assign(id, evidence);
+    }
+  }
+  return collected;
+}
+
 // Returns the sound answers of the service; of all if it is empty.
 [[nodiscard]] std::uint64_t SoundAnswersOf(const PoisonTable& table,
                                            const ServiceId& service) {
