--- a/tests/unit/poison_parts_test.cc
+++ b/tests/unit/poison_parts_test.cc
@@ -454,6 +454,28 @@
   CHECK((arrivals <= 6) == one.found);
 }
 
+// Guards against: crashes without a status make a group large, for which one
+// group is evidence enough against a part.
+TEST_CASE("crashes without a status do not count in the groups of parts") {
+  PoisonTable table;
+  const TimePoint now{seconds(1000)};
+  for (const char* upstream : {"a", "b"}) {
+    RecordLostRequest(table, HashUpstreamId(UpstreamId{upstream}),
+                      Incarnation{1}, HeadWith({kFirstPart}), true, now);
+  }
+  RequestHead whole;
+  for (const char* upstream : {"c", "d"}) {
+    whole.digest = ContentDigest{std::string(64, upstream[0])};
+    UnconfirmedLoss loss;
+    AddLostRequest(loss, whole, now);
+    RecordConfirmedLoss(table, HashUpstreamId(UpstreamId{upstream}), loss, now);
+  }
+  for (int i = 0; i < 20; ++i) {
+    RecordSoundAnswer(table, HeadWith({}), now);
+  }
+  CHECK(FindNewPoison(table, now + seconds(1)).empty());
+}
+
 // Guards against: upstreams that lose power together, or come back together and
 // reset their connections, make popular parts look like poison.
 TEST_CASE("a power loss seen over half a second makes no part poison") {
