Split gateway.cc, and decode the accounts of the configuration

The published view, the expiry of requests with the graceful shutdown, and the end of attempts and requests move to files of their own; no behaviour changes.

The configuration's list of accounts, with keys, priority, homes and allowance, is decoded into `RouteCatalogue::accounts`. Nothing uses it yet.

--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -163,6 +163,16 @@
 /// other region.
 void MaintainLinks(StepContext& context);
 
+/// \brief Refuses or aborts the requests whose time is over.
+void ExpireRequests(StepContext& context);
+
+/// \brief Continues a graceful shutdown: refuses new requests after the leave
+/// notice, and finishes when no request is in progress or the time is over.
+void ContinueDrain(StepContext& context);
+
+/// \brief Publishes a view of this instance when that is due.
+void PublishViews(StepContext& context);
+
 /// \brief Sends load digests and offers to other instances when they are due.
 void SendLoadDigests(StepContext& context);
 
--- a/include/mimosagauge/impl/decisions/request.h
+++ b/include/mimosagauge/impl/decisions/request.h
@@ -62,6 +62,9 @@
 struct RequestHead {
   RequestId id;
   AccountId account;
+  /// Key of an account as the caller sent it; a secret. Set only until the
+  /// request is authenticated, and never sent to another instance.
+  std::string credential;
   RegionId account_home;  ///< Empty when the account has none.
   RegionId entry_region;  ///< Region in which the caller sent it.
   ServiceId service;      ///< From the request path; empty for models.
--- a/include/mimosagauge/impl/decisions/routes.h
+++ b/include/mimosagauge/impl/decisions/routes.h
@@ -16,6 +16,7 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/time.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/accounts/account.h"
 #include "mimosagauge/impl/decisions/request.h"
 #include "mimosagauge/impl/rules/verdict.h"
 
@@ -52,6 +53,7 @@
   std::uint8_t priority = Verdict::kDefaultPriority;
   std::vector<RegionId> regions;  ///< Regions in which the requests may be
                                   ///< served; empty means any region.
+  bool is_public = false;  ///< Whether requests need no key of an account.
 };
 
 /// \brief Properties that all engines of a service share.
@@ -91,6 +93,7 @@
   std::vector<Route> routes;
   std::unordered_map<ServiceId, ServiceProfile> services;
   CallerLimits limits;
+  Accounts accounts;
   /// Position of each route in `routes` by host and prefix; built by
   /// `IndexRoutes`.
   std::unordered_map<std::string, std::size_t> index;
