Use the pace of upstreams' machines that load reports state

Cause: upstreams that share their machine state in a fourth figure of the load report how long work takes there at the moment; it was not read. The estimate of an answer's start took such moments for a lasting slowness.

Change: `decisions/pace` keeps the last report of each upstream and learns, from successive reports, how much of a deviation is left after a time. The expected slowdown scales the expected start. Without the figure nothing changes.

--- a/include/mimosagauge/impl/decisions/engine_load.h
+++ b/include/mimosagauge/impl/decisions/engine_load.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "mimosagauge/impl/core/ids.h"
@@ -23,6 +24,9 @@
   std::size_t running = 0;  ///< Requests that it is running.
   std::size_t waiting = 0;  ///< Requests in its own queue.
   std::size_t slots = 0;    ///< Requests that it can run concurrently.
+  /// How much longer than usual work takes on its machine at the moment, as a
+  /// factor; empty: not reported.
+  std::optional<double> slowdown{};
 };
 
 /// \brief Speeds that are assumed for an upstream until they can be estimated
@@ -133,6 +137,8 @@
   std::size_t in_flight = 0;  ///< This instance's requests at the upstream.
   std::size_t slots = 1;      ///< Requests that the upstream can run
                               ///< concurrently.
+  double slowdown = 1;        ///< Factor by which work is expected to take
+                              ///< longer than usual there at the moment.
 };
 
 /// \brief Latency estimate for a request that is sent now.
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -13,6 +13,7 @@
 #include "mimosagauge/impl/decisions/config.h"
 #include "mimosagauge/impl/decisions/engine_load.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
+#include "mimosagauge/impl/decisions/pace/machine_pace.h"
 #include "mimosagauge/impl/decisions/prefix_cache.h"
 #include "mimosagauge/impl/decisions/request.h"
 #include "mimosagauge/impl/decisions/shared_rate.h"
@@ -36,6 +37,7 @@
   bool evacuated = false;
   SharedRate rate;
   EngineLoad load;
+  MachinePace pace;
   /// Estimated content of the KV cache; empty for a plain service.
   PrefixCache cache;
   /// Milliseconds to copy one token of KV cache from another engine; zero means
@@ -55,6 +57,7 @@
 /// \brief All upstreams of this region.
 struct UpstreamTable {
   EngineSpeeds speeds;
+  PacePersistence pace_persistence;
   std::vector<UpstreamState> upstreams;
   /// Position of each upstream in `upstreams`, by its id.
   std::unordered_map<UpstreamId, std::size_t> index;
--- a/src/decisions/engine_load.cc
+++ b/src/decisions/engine_load.cc
@@ -137,7 +137,9 @@
   const double queued_per_slot =
       static_cast<double>(report.waiting) /
       static_cast<double>(std::max<std::size_t>(1, report.slots));
-  const Duration observed = Scaled(taken, 1 / (1 + queued_per_slot));
+  const double slowdown = std::max(1.0, report.slowdown.value_or(1));
+  const Duration observed =
+      Scaled(taken, 1 / ((1 + queued_per_slot) * slowdown));
   if (load.service_time == Duration::zero()) {
     load.service_time = observed;
     return;
@@ -188,7 +190,10 @@
   LatencyQuery bounded = question;
   bounded.slots = std::max<std::size_t>(1, question.slots);
   if (!question.engine) {
-    return EstimatePlainService(load, bounded, speeds, total);
+    LatencyEstimate plain = EstimatePlainService(load, bounded, speeds, total);
+    plain.start = Scaled(plain.start, question.slowdown);
+    plain.end = Scaled(plain.end, question.slowdown);
+    return plain;
   }
   const double queued_tokens =
       load.unread_tokens + others.unread_tokens + question.prompt_tokens;
@@ -197,7 +202,7 @@
   const double requests_ahead = RequestsAhead(total, bounded.slots);
   LatencyEstimate expectation;
   expectation.start =
-      Scaled(unqueued_start, load.slowness) +
+      Scaled(unqueued_start, load.slowness * question.slowdown) +
       Scaled(kAssumedGenerationTime,
              requests_ahead / static_cast<double>(bounded.slots));
   expectation.reading =
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -258,6 +258,10 @@
   }
   if (report) {
     RecordLoadReport(upstream->load, *report, upstream->in_flight, context.now);
+    if (report->slowdown) {
+      RecordPace(upstream->pace, context.gateway.upstreams.pace_persistence,
+                 *report->slowdown, context.now);
+    }
   }
 }
 
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -125,8 +125,12 @@
              0;
 }
 
-[[nodiscard]] LatencyQuery LoadQuestionFor(const UpstreamState& upstream) {
+[[nodiscard]] LatencyQuery LoadQuestionFor(const UpstreamTable& table,
+                                           const UpstreamState& upstream,
+                                           TimePoint now) {
   LatencyQuery question;
+  question.slowdown =
+      ExpectedSlowdown(upstream.pace, table.pace_persistence, now);
   question.engine = upstream.kind == UpstreamKind::kEngine;
   question.in_flight = upstream.in_flight;
   question.slots = upstream.config.concurrency;
@@ -171,7 +175,7 @@
                                           TimePoint now) {
   Candidate candidate;
   candidate.upstream = &upstream;
-  LatencyQuery question = LoadQuestionFor(upstream);
+  LatencyQuery question = LoadQuestionFor(table, upstream, now);
   if (question.engine && need.prompt != nullptr) {
     const std::uint32_t uncached = UncachedTokens(upstream.cache, *need.prompt);
     const std::uint32_t missing = MissingSharedTokens(*need.prompt, uncached);
@@ -373,6 +377,7 @@
     state->leaving = false;
     state->health = UpstreamHealth{};
     state->load = EngineLoad{};
+    state->pace = MachinePace{};
     state->rate.named = {};
     Clear(state->cache);
   }
@@ -424,7 +429,8 @@
       continue;
     }
     const LatencyEstimate expected =
-        Expect(upstream.load, LoadQuestionFor(upstream), table.speeds, now);
+        Expect(upstream.load, LoadQuestionFor(table, upstream, now),
+               table.speeds, now);
     const bool is_first = offer.usable++ == 0;
     offer.start =
         is_first ? expected.start : std::min(offer.start, expected.start);
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -354,6 +354,35 @@
   CHECK(signs.idle_timeout == std::optional<Duration>(seconds(5)));
 }
 
+// Guards against a field of an unexpected form that hides the whole report.
+TEST_CASE("the pace of a worker's machine is read where it is valid") {
+  struct Case {
+    std::string field;
+    std::optional<double> slowdown;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"3,1,8", std::nullopt},
+      {"3,1,8,100", 1.0},
+      {"3,1,8,250", 2.5},
+      {"3,1,8,0", std::nullopt},
+      {"3,1,8,-5", std::nullopt},
+      {"3,1,8,nan", std::nullopt},
+      {"3,1,8,fast", std::nullopt},
+      {"3,1,8,100,7", std::nullopt},
+  }));
+  CAPTURE(one.field);
+  http::response_header<> head;
+  head.version(11);
+  head.result(200U);
+  head.insert("X-Mimosagauge-Request-Id", "9c41");
+  head.insert("X-Mimosagauge-Stamp", "s");
+  head.insert("X-Mimosagauge-Load", one.field);
+  const AnswerHeadInfo info = platform::Upstreams().read_head(head, Attempt());
+  REQUIRE(info.load);
+  CHECK(info.load->slots == 8);
+  CHECK(info.load->slowdown == one.slowdown);
+}
+
 TEST_CASE("a rate limit is read where a worker names one") {
   struct Case {
     std::string field;
