Plan the traffic between regions

Cause: each request compared expected times here and elsewhere by itself, so long generations stayed in a region at its peak while engines of another were idle, and short requests that may not leave were refused.

Change: `decisions/traffic_plan` measures the demand of callers by flow, sums it up in two reporters of each region and computes, in every instance, which share of which flow is served where (docs/design/014). Long generations follow the home of their prompt part, whose weights come from the plan. Not switched on by any setting yet.

--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -93,6 +93,9 @@
   HashFunction hash;  ///< Must be set if requests with idempotency keys are
                       ///< accepted.
   EngineSpeeds speeds;
+  /// Whether requests for engines follow a plan for the traffic between
+  /// regions.
+  bool plan_traffic = false;
   GatewayLimits limits;
 };
 
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -132,6 +132,13 @@
   std::shared_ptr<const LoadDigest> digest;  ///< Never null.
 };
 
+/// \brief Sends a message about the traffic between regions to another
+/// instance. The message may be lost.
+struct SendTraffic {
+  InstanceId to;
+  std::shared_ptr<const TrafficMessage> message;  ///< Never null.
+};
+
 /// \brief Publishes a view of this instance, which replaces the previous one.
 struct PublishView {
   InstanceViewPtr view;  ///< Never null.
@@ -155,8 +162,8 @@
 using LinkEffect =
     std::variant<StartLinkAttempt, CancelAttempt, AddAttemptCredit,
                  SendAnswerHead, SendAnswerBody, SendAnswerEnd, AbortAnswer,
-                 SendProblem, SendGossip, SendLoad, ConnectInstance,
-                 DisconnectInstance>;
+                 SendProblem, SendGossip, SendLoad, SendTraffic,
+                 ConnectInstance, DisconnectInstance>;
 
 /// \brief An effect for one duty; the wrapper's type names the duty.
 struct ForUpstreams {
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -16,6 +16,7 @@
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/request.h"
 #include "mimosagauge/impl/decisions/routes.h"
+#include "mimosagauge/impl/decisions/traffic_plan/region_reports.h"
 #include "mimosagauge/impl/decisions/upstream_table.h"
 #include "mimosagauge/impl/rules/rule_set.h"
 
@@ -149,6 +150,12 @@
   LoadDigest digest;
 };
 
+/// \brief A message about the traffic between regions was received.
+struct TrafficReceived {
+  InstanceId from;
+  TrafficMessage message;
+};
+
 /// \brief A call to the store about claims of keys was answered or failed.
 struct ClaimStoreAnswered {
   StoreEvent answer;
@@ -160,12 +167,14 @@
 /// \brief Periodic event that lets time-based work run.
 struct Tick {};
 
-using Event = std::variant<
-    RequestArrived, RequestAbandoned, AnswerConsumed, AttemptHeadReceived,
-    AttemptBodyReceived, AttemptEnded, AttemptFailed, RulesReceived,
-    CatalogueReceived, UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
-    InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
-    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick>;
+using Event =
+    std::variant<RequestArrived, RequestAbandoned, AnswerConsumed,
+                 AttemptHeadReceived, AttemptBodyReceived, AttemptEnded,
+                 AttemptFailed, RulesReceived, CatalogueReceived,
+                 UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
+                 InstanceUpdated, InstanceRemoved, LinkChanged,
+                 StoreRevisionSeen, LoadReceived, TrafficReceived,
+                 GossipReceived, ClaimStoreAnswered, DrainRequested, Tick>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -27,6 +27,7 @@
 #include "mimosagauge/impl/decisions/retry_budget.h"
 #include "mimosagauge/impl/decisions/routes.h"
 #include "mimosagauge/impl/decisions/rules_spread.h"
+#include "mimosagauge/impl/decisions/traffic_plan/region_reports.h"
 #include "mimosagauge/impl/decisions/upstream_table.h"
 #include "mimosagauge/impl/decisions/waiting_queue.h"
 
@@ -132,6 +133,7 @@
                                                       ///< regions.
   /// Offers of this region, as sent to other regions.
   std::unordered_map<ServiceId, ServiceOffer> own_offers;
+  RegionTraffic traffic;         ///< Used only if the traffic is planned.
   std::uint64_t store_seen = 0;  ///< Newest revision of the store received
                                  ///< here.
   /// When another instance was first found to have a newer revision of the
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/decisions/gateway.h"
+#include "mimosagauge/impl/decisions/part_home.h"
 
 namespace mimosagauge::detail {
 
@@ -176,6 +177,26 @@
 /// \brief Sends load digests and offers to other instances when they are due.
 void SendLoadDigests(StepContext& context);
 
+/// \brief Records the demand of a request that a caller sent, if the traffic
+/// between regions is planned.
+void RecordCallerDemand(StepContext& context, const RequestRecord& record);
+
+/// \brief Exchanges reports on demand and capacity and updates the plan for the
+/// traffic between regions when that is due.
+void SendTrafficMessages(StepContext& context);
+
+/// \returns The regions that may serve the request, weighted by the long
+/// generations that the plan gives them; empty without a plan.
+[[nodiscard]] std::vector<RegionCapacity> PlannedCacheRegions(
+    const Gateway& gateway, const RequestRecord& record);
+
+/// \param local The upstream that this region would use, if any.
+/// \returns The instance of another region that the plan sends the request to;
+/// null if it is served here.
+[[nodiscard]] const PeerConfig* ChoosePlannedPeer(
+    StepContext& context, const RequestRecord& record,
+    const std::optional<UpstreamChoice>& local);
+
 /// \brief Records the rate limit that an upstream named in an answer, or that
 /// it named none.
 void RecordRateLimit(StepContext& context, const UpstreamId& id,
@@ -265,6 +286,7 @@
 void Handle(StepContext& context, InstanceRemoved&& event);
 void Handle(StepContext& context, StoreRevisionSeen&& event);
 void Handle(StepContext& context, LoadReceived&& event);
+void Handle(StepContext& context, TrafficReceived&& event);
 void Handle(StepContext& context, LinkChanged&& event);
 void Handle(StepContext& context, GossipReceived&& event);
 void Handle(StepContext& context, ClaimStoreAnswered&& event);
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -175,6 +175,12 @@
                                             const ServiceId& service,
                                             TimePoint now);
 
+/// \returns The work that the engines of the service can do each second, in
+/// seconds of an engine of the configured speed. Engines that accept no
+/// requests now do not count.
+[[nodiscard]] double EngineCapacity(const UpstreamTable& table,
+                                    const ServiceId& service, TimePoint now);
+
 /// \returns Whether an upstream can serve the request now, or as soon as it has
 /// a free slot.
 [[nodiscard]] bool CanServe(const UpstreamTable& table,
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -86,6 +86,7 @@
   ++MetricsOf(gateway, record).requests;
   if (record.arrival.origin == Origin::kCaller) {
     CreditFirstAttempt(RetryBudgetOf(gateway, record.verdict.service));
+    RecordCallerDemand(context, record);
   }
   gateway.deadlines.emplace(record.due, number);
   const bool keyed =
@@ -255,6 +256,7 @@
   detail::ContinueDrain(context);
   detail::Dispatch(context);
   detail::SendLoadDigests(context);
+  detail::SendTrafficMessages(context);
   detail::PublishViews(context);
   return effects;
 }
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -275,6 +275,9 @@
     local = ChooseUpstream(gateway.upstreams, PlacementNeedOf(gateway, record),
                            gateway.config.zone, region, context.now);
   }
+  if (const PeerConfig* planned = ChoosePlannedPeer(context, record, local)) {
+    return StartOnInstance(context, record, *planned);
+  }
   if (local && MeetsStartTarget(gateway, record, local->expected)) {
     const RemoteChoice preferred =
         ChoosePreferredRemote(context, record, *local);
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -415,6 +415,20 @@
   }
 }
 
+double EngineCapacity(const UpstreamTable& table, const ServiceId& service,
+                      TimePoint now) {
+  const auto found = table.services.find(service);
+  if (found == table.services.end()) {
+    return 0;
+  }
+  double capacity = 0;
+  for (const std::size_t position : found->second.all) {
+    const UpstreamState& upstream = table.upstreams[position];
+    capacity += AcceptsRequests(upstream, now) ? 1 / upstream.load.slowness : 0;
+  }
+  return capacity;
+}
+
 ServiceOffer MakeServiceOffer(const UpstreamTable& table,
                               const ServiceId& service, TimePoint now) {
   ServiceOffer offer;
--- a/src/duties/links/client.cc
+++ b/src/duties/links/client.cc
@@ -13,6 +13,7 @@
 #include "mimosagauge/impl/duties/links/gossip.h"
 #include "mimosagauge/impl/duties/links/log.h"
 #include "mimosagauge/impl/wire/load_codec.h"
+#include "mimosagauge/impl/wire/traffic_codec.h"
 
 namespace mimosagauge {
 namespace {
@@ -584,6 +585,11 @@
   Handle(SendGossip{std::move(load.to), EncodeLoadDigest(*load.digest)});
 }
 
+void LinkClient::Handle(SendTraffic&& traffic) {
+  Handle(SendGossip{std::move(traffic.to),
+                    EncodeTrafficMessage(*traffic.message)});
+}
+
 void LinkClient::Handle(SendGossip&& gossip) {
   const auto found = peers_.find(gossip.to);
   const bool is_up =
