Plan traffic from the origin of each flow

They now start in their origin like short requests; all requests with one part follow the same share.

--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "mimosagauge/impl/decisions/gateway.h"
-#include "mimosagauge/impl/decisions/part_home.h"
 
 namespace mimosagauge::detail {
 
@@ -185,17 +184,10 @@
 /// traffic between regions when that is due.
 void SendTrafficMessages(StepContext& context);
 
-/// \returns The regions that may serve the request, weighted by the long
-/// generations that the plan gives them; empty without a plan.
-[[nodiscard]] std::vector<RegionCapacity> PlannedCacheRegions(
-    const Gateway& gateway, const RequestRecord& record);
-
-/// \param local The upstream that this region would use, if any.
 /// \returns The instance of another region that the plan sends the request to;
 /// null if it is served here.
-[[nodiscard]] const PeerConfig* ChoosePlannedPeer(
-    StepContext& context, const RequestRecord& record,
-    const std::optional<UpstreamChoice>& local);
+[[nodiscard]] const PeerConfig* ChoosePlannedPeer(StepContext& context,
+                                                  const RequestRecord& record);
 
 /// \brief Records the rate limit that an upstream named in an answer, or that
 /// it named none.
--- a/include/mimosagauge/impl/decisions/traffic_plan/plan.h
+++ b/include/mimosagauge/impl/decisions/traffic_plan/plan.h
@@ -56,9 +56,8 @@
 
 /// \brief Plans the traffic. The same input gives the same plan, in any order.
 ///
-/// Short requests start in their origin. Long generations, whose shared prompt
-/// parts are cached in one region each, and requests that may not be served in
-/// their origin start in all allowed regions by capacity. Then work is moved
+/// Each flow starts in its origin, or in its allowed regions by capacity if it
+/// may not be served there. Then work is moved
 /// out of regions whose utilization is above a level to regions below it,
 /// directly or over a chain of regions each of which passes on other work; long
 /// generations move first. Levels rise until no region is above the last one
@@ -75,13 +74,6 @@
 /// \param step From 0 (no change) to 1 (all at once).
 void Approach(TrafficPlan& plan, const TrafficPlan& target, double step);
 
-/// \returns The work of long generations of the service that the plan gives to
-/// each region, of all flows that may be served in the same regions.
-/// \param allowed Sorted; empty: any region.
-[[nodiscard]] std::map<RegionId, double> PlannedLongWork(
-    const TrafficPlan& plan, const std::vector<FlowDemand>& demands,
-    const ServiceId& service, const std::vector<RegionId>& allowed);
-
 /// \returns The region that serves a request of the flow; the origin for a flow
 /// without a plan.
 /// \param draw Random number from 0 to 1.
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -275,7 +275,7 @@
     local = ChooseUpstream(gateway.upstreams, PlacementNeedOf(gateway, record),
                            gateway.config.zone, region, context.now);
   }
-  if (const PeerConfig* planned = ChoosePlannedPeer(context, record, local)) {
+  if (const PeerConfig* planned = ChoosePlannedPeer(context, record)) {
     return StartOnInstance(context, record, *planned);
   }
   if (local && MeetsStartTarget(gateway, record, local->expected)) {
--- a/src/decisions/gateway_regions.cc
+++ b/src/decisions/gateway_regions.cc
@@ -108,10 +108,7 @@
     return {};
   }
   const ServiceId& service = record.verdict.service;
-  std::vector<RegionCapacity> regions = PlannedCacheRegions(gateway, record);
-  if (!regions.empty()) {
-    return CacheRegionForPart(part->id, regions);
-  }
+  std::vector<RegionCapacity> regions;
   if (AllowsRegion(record.verdict, gateway.config.region)) {
     regions.push_back(
         {gateway.config.region, UsableUpstreams(gateway.own_offers, service)});
--- a/src/decisions/gateway_traffic.cc
+++ b/src/decisions/gateway_traffic.cc
@@ -19,9 +19,6 @@
 constexpr double kAssumedReadAgain = 0.15;
 // Decode work of one token relative to a full batch: batches are half full.
 constexpr double kBatchFactor = 2;
-// A long generation stays in this region if a part of it is cached here and its
-// answer begins within this fraction of the objective.
-constexpr double kIdleFraction = 0.25;
 
 [[nodiscard]] bool IsPlanned(const Gateway& gateway,
                              const RequestRecord& record) {
@@ -169,13 +166,15 @@
   return candidates[pick(gateway.random)];
 }
 
-// Whether a long generation is served here although its part belongs to another
-// region: an engine here has the part cached and is nearly idle.
-[[nodiscard]] bool IsServedWellHere(
-    const RequestRecord& record, const std::optional<UpstreamChoice>& local) {
-  return local && local->part_cached &&
-         local->expected.start <= std::chrono::duration_cast<Duration>(
-                                      record.verdict.objective * kIdleFraction);
+// Returns the number from 0 to 1 that places the request among the shares of
+// its flow: the same for all requests with the same shared prompt part, so that
+// a part is read in few regions; else a random one.
+[[nodiscard]] double DrawOf(Gateway& gateway, const RequestRecord& record) {
+  constexpr double kHashCount = 18446744073709551616.0;  // 2^64
+  const PromptPart* part = MostSpecificSharedPart(record.arrival.head->prompt);
+  return part == nullptr
+             ? std::uniform_real_distribution<double>()(gateway.random)
+             : static_cast<double>(RendezvousWeight(part->id, "")) / kHashCount;
 }
 
 }  // namespace
@@ -228,45 +227,16 @@
   }
 }
 
-std::vector<RegionCapacity> PlannedCacheRegions(const Gateway& gateway,
-                                                const RequestRecord& record) {
-  std::vector<RegionCapacity> regions;
-  if (!IsPlanned(gateway, record)) {
-    return regions;
-  }
-  const Flow flow = FlowOf(gateway, record);
-  for (const auto& [region, work] :
-       PlannedLongWork(gateway.traffic.plan, gateway.traffic.planned_demands,
-                       flow.service, flow.allowed)) {
-    if (AllowsRegion(record.verdict, region)) {
-      regions.push_back({region, work});
-    }
-  }
-  return regions;
-}
-
-const PeerConfig* ChoosePlannedPeer(
-    StepContext& context, const RequestRecord& record,
-    const std::optional<UpstreamChoice>& local) {
+const PeerConfig* ChoosePlannedPeer(StepContext& context,
+                                    const RequestRecord& record) {
   Gateway& gateway = context.gateway;
   if (!IsPlanned(gateway, record) || !IsForwardingAllowed(record) ||
       record.attempts > 0) {
     return nullptr;
   }
-  const Flow flow = FlowOf(gateway, record);
-  const PromptPart* part = MostSpecificSharedPart(record.arrival.head->prompt);
-  RegionId region;
-  if (flow.size == SizeClass::kLong && part != nullptr) {
-    if (IsServedWellHere(record, local)) {
-      return nullptr;
-    }
-    region = CacheRegionForPart(part->id, PlannedCacheRegions(gateway, record));
-  } else {
-    region =
-        PlannedRegion(gateway.traffic.plan, flow,
-                      std::uniform_real_distribution<double>()(gateway.random));
-  }
-  if (region.empty() || region == gateway.config.region ||
+  const RegionId region = PlannedRegion(
+      gateway.traffic.plan, FlowOf(gateway, record), DrawOf(gateway, record));
+  if (region == gateway.config.region ||
       !AllowsRegion(record.verdict, region)) {
     return nullptr;
   }
--- a/src/decisions/traffic_plan/plan.cc
+++ b/src/decisions/traffic_plan/plan.cc
@@ -64,7 +64,7 @@
 void PlaceAtStart(Balance& balance) {
   for (PlacedFlow& placed : balance.flows) {
     const Flow& flow = placed.demand->flow;
-    if (flow.size == SizeClass::kShort && IsAllowed(flow, flow.origin) &&
+    if (IsAllowed(flow, flow.origin) &&
         balance.capacity.contains(flow.origin)) {
       placed.work[flow.origin] = placed.demand->work;
     } else {
@@ -256,24 +256,6 @@
   });
 }
 
-std::map<RegionId, double> PlannedLongWork(
-    const TrafficPlan& plan, const std::vector<FlowDemand>& demands,
-    const ServiceId& service, const std::vector<RegionId>& allowed) {
-  std::map<RegionId, double> work;
-  for (const FlowDemand& demand : demands) {
-    const Flow& flow = demand.flow;
-    const auto shares = plan.shares.find(flow);
-    if (flow.size != SizeClass::kLong || flow.service != service ||
-        flow.allowed != allowed || shares == plan.shares.end()) {
-      continue;
-    }
-    for (const auto& [region, share] : shares->second) {
-      work[region] += share * demand.work;
-    }
-  }
-  return work;
-}
-
 RegionId PlannedRegion(const TrafficPlan& plan, const Flow& flow, double draw) {
   const auto found = plan.shares.find(flow);
   if (found == plan.shares.end() || found->second.empty()) {
