--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -47,6 +47,23 @@
   Endpoint entry;   ///< Where it accepts callers.
   Endpoint link{};  ///< Where it accepts links; set only if the instance was
                     ///< registered at run time.
+  Bytes memory{};   ///< Of its process; zero: not known.
+};
+
+/// \brief Whether starts of requests at engines are coordinated in the region.
+enum class PlacementMode : std::uint8_t {
+  kNever,   ///< Each instance places its requests by its own estimates.
+  kAuto,    ///< At services whose engines have fewer slots than the region has
+            ///< instances.
+  kAlways,  ///< At all services with engines.
+};
+
+/// \brief Settings of the coordinated placement.
+struct PlacementSettings {
+  PlacementMode coordinated = PlacementMode::kNever;
+  /// Time until a request is placed locally without an answer of the
+  /// coordinator.
+  Duration answer_within = std::chrono::milliseconds(40);
 };
 
 /// \brief Limits of the gateway state machine.
@@ -94,6 +111,8 @@
                       ///< accepted.
   EngineSpeeds speeds;
   GatewayLimits limits;
+  Bytes memory{};  ///< Of this process; zero: not known.
+  PlacementSettings placement{};
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -83,6 +83,9 @@
   /// means that only upstreams of the same cost are equal, and then load and
   /// availability zone decide instead of the number.
   Duration spread{};
+  /// Whether load and availability zone also decide between upstreams that are
+  /// about equal; for a table that contains the load of all instances.
+  bool balance = false;
 };
 
 /// \brief The upstream chosen for a request, with its latency estimate.
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -151,6 +151,7 @@
   bool plain_links = false;  ///< Links need no TLS: the network is trusted.
   RetrySettings retries;
   EngineSettings engines;
+  PlacementSettings placement;
   std::string operator_token;
   /// Shared by all instances; signs the tickets of idempotency keys. Empty: no
   /// tickets.
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -230,7 +230,7 @@
   if (difference > need.spread) {
     return a.cost < b.cost;
   }
-  if (need.spread == Duration::zero()) {
+  if (need.balance || need.spread == Duration::zero()) {
     return IsLessLoadedOrNearer(*a.upstream, *b.upstream, zone);
   }
   return RendezvousWeight(need.draw, a.upstream->config.id.value()) >
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -386,6 +386,8 @@
   }
   config.speeds.prompt_tokens_per_ms = settings.engines.prompt_tokens_per_ms;
   config.speeds.first_token = settings.engines.first_token;
+  config.memory = settings.limits.memory;
+  config.placement = settings.placement;
   return config;
 }
 
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -43,6 +43,14 @@
                                                      : std::string();
 }
 
+// The memory that an instance has published; zero when it has not.
+[[nodiscard]] Bytes MemoryField(const nlohmann::json& object) {
+  const auto found = object.find("memory");
+  return found != object.end() && found->is_number_unsigned()
+             ? Bytes{found->get<std::uint64_t>()}
+             : Bytes{};
+}
+
 // The part of `key` after `prefix`, or an empty one when it has another prefix.
 [[nodiscard]] std::string_view SuffixAfter(std::string_view key,
                                            std::string_view prefix) {
@@ -99,7 +107,8 @@
   return nlohmann::json{{"region", settings_.region.value()},
                         {"zone", settings_.zone.value()},
                         {"entry", ToString(settings_.entry)},
-                        {"link", ToString(settings_.peer)}}
+                        {"link", ToString(settings_.peer)},
+                        {"memory", settings_.limits.memory.count()}}
       .dump();
 }
 
@@ -384,10 +393,10 @@
           "the instance's entry has no valid 'entry' or 'link' address"}});
     return;
   }
-  decisions_.Post(InstanceUpdated{{InstanceId{std::string(id)},
-                                   RegionId{StringField(document, "region")},
-                                   ZoneId{StringField(document, "zone")},
-                                   entry_at.value(), link_at.value()}});
+  decisions_.Post(InstanceUpdated{
+      {InstanceId{std::string(id)}, RegionId{StringField(document, "region")},
+       ZoneId{StringField(document, "zone")}, entry_at.value(), link_at.value(),
+       MemoryField(document)}});
 }
 
 // Removes the entry, or defers that for a while after an outage, when entries
