Coordinate starts at engines within a region

Estimates of other instances' load are up to 0.75 s old, so engines of 12 slots refuse as full.

Change: where settings `placement.coordinated` ask for it (default never), an instance asks the coordinator of the service, sends the request to the granted engine itself, and reports begin and end. Without an answer in 40 ms the request is placed locally as before; after two misses the next in rank is asked until the first answers a probe in time. Late grants are returned. Messages are control state of links with the tag P (placement.fbs). Load digests leave out the shares of engines whose coordinator answers.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -121,6 +121,14 @@
 inline constexpr LogEvent kZoneEvacuated{
     8204, LogLevel::kInfo, "an availability zone was evacuated or opened again",
     ""};
+inline constexpr LogEvent kCoordinatorSilent{
+    8321, LogLevel::kWarning,
+    "the placement coordinator does not answer in time and is passed over",
+    "look at that instance and the link; requests are placed without it"};
+inline constexpr LogEvent kCoordinatorBack{
+    8322, LogLevel::kInfo, "a placement coordinator answers in time again", ""};
+inline constexpr LogEvent kCoordinatorChanged{
+    8323, LogLevel::kInfo, "another instance coordinates a service here", ""};
 inline constexpr LogEvent kInstanceLearned{
     7001, LogLevel::kInfo, "another instance appeared or changed its address",
     ""};
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/coordination/messages.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/request.h"
@@ -149,6 +150,13 @@
   LoadDigest digest;
 };
 
+/// \brief A message about placement was received from an instance of this
+/// region.
+struct PlacementReceived {
+  InstanceId from;
+  PlacementMessage message;
+};
+
 /// \brief A call to the store about claims of keys was answered or failed.
 struct ClaimStoreAnswered {
   StoreEvent answer;
@@ -165,7 +173,8 @@
     AttemptBodyReceived, AttemptEnded, AttemptFailed, RulesReceived,
     CatalogueReceived, UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
     InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
-    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick>;
+    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick,
+    PlacementReceived>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/decisions/config.h"
+#include "mimosagauge/impl/decisions/coordination/asker.h"
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
 #include "mimosagauge/impl/decisions/gateway_metrics.h"
@@ -88,6 +89,7 @@
   bool completed = false;           ///< The answer was received completely.
   bool detached = false;     ///< The sender disconnected; the run continues.
   std::string last_failure;  ///< Error message of the last failed attempt.
+  RequestPlacement placement;  ///< Of the current attempt at an engine.
 };
 
 /// \brief State of another instance, as seen by this one.
@@ -153,6 +155,7 @@
   ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
   PoisonTable poison;
+  PlacementState placement;
   /// Requests lost at upstreams of which it is not known yet whether their
   /// process has ended.
   std::unordered_map<UpstreamId, UnconfirmedLoss> unconfirmed_losses;
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -122,6 +122,53 @@
 void StartOnInstance(StepContext& context, RequestRecord& record,
                      const PeerConfig& peer);
 
+/// \brief Starts an attempt at the chosen upstream.
+void StartOnUpstream(StepContext& context, RequestRecord& record,
+                     const UpstreamChoice& choice);
+
+/// \brief Starts an attempt at an instance of another region if one may serve
+/// the request and is expected to do so in time.
+/// \returns Whether it was started.
+bool StartElsewhere(StepContext& context, RequestRecord& record);
+
+/// \returns The requirements of the request on its upstream, with the prompt
+/// and the tie-breaking values of the choice.
+[[nodiscard]] UpstreamNeed PlacementNeedOf(const Gateway& gateway,
+                                           const RequestRecord& record);
+
+/// \returns Whether the starts of the service's requests in this region are
+/// coordinated.
+[[nodiscard]] bool IsCoordinated(const Gateway& gateway,
+                                 const ServiceId& service);
+
+/// \returns Whether the service's coordinator responds, so that the instances
+/// of the region need no shares of each other's load on its engines.
+[[nodiscard]] bool HasActiveCoordinator(const Gateway& gateway,
+                                        const ServiceId& service);
+
+/// \brief Asks the coordinator of the request's service where it may start.
+/// \returns Whether the request waits for the answer; otherwise it is to be
+/// placed locally.
+bool AskCoordinator(StepContext& context, RequestRecord& record);
+
+/// \brief Reports to the coordinator that an attempt at an engine has started.
+void ReportStart(StepContext& context, RequestRecord& record,
+                 const UpstreamState& upstream);
+/// \brief Reports that the response of the running attempt has begun.
+void ReportBegun(StepContext& context, RequestRecord& record);
+/// \brief Reports that the attempt has ended, or that the request does not
+/// wait for an answer any more; has no effect when there is nothing to report.
+void ReportEnd(StepContext& context, RequestRecord& record);
+
+/// \brief Marks that the state of links, instances or engines has changed, on
+/// which the choice of coordinators depends.
+/// \param returned An instance whose link came up; empty: none.
+void UpdateCoordinators(Gateway& gateway, const InstanceId& returned);
+
+/// \brief Ends waits for answers that are over, answers as a coordinator, and
+/// sends what is due to the other instances.
+void CoordinatePlacement(StepContext& context);
+
 /// \brief Grants the running attempt credit to send more body bytes.
 void GrantAttemptCredit(StepContext& context, const RequestRecord& record,
                         Bytes bytes);
@@ -265,6 +312,7 @@
 void Handle(StepContext& context, InstanceRemoved&& event);
 void Handle(StepContext& context, StoreRevisionSeen&& event);
 void Handle(StepContext& context, LoadReceived&& event);
+void Handle(StepContext& context, PlacementReceived&& event);
 void Handle(StepContext& context, LinkChanged&& event);
 void Handle(StepContext& context, GossipReceived&& event);
 void Handle(StepContext& context, ClaimStoreAnswered&& event);
--- a/include/mimosagauge/impl/duties/links/client.h
+++ b/include/mimosagauge/impl/duties/links/client.h
@@ -76,6 +76,7 @@
 
   /// \brief Encodes a load digest and sends it like gossip.
   void Handle(SendLoad&& load);
+  void Handle(SendPlacement&& placement);
 
   [[nodiscard]] const LinkClientCounters& counters() const noexcept {
     return counters_;
--- a/include/mimosagauge/impl/settings/section.h
+++ b/include/mimosagauge/impl/settings/section.h
@@ -92,6 +92,8 @@
                                             UpstreamKind* type);
 [[nodiscard]] Result<PlatformDialect> FromText(const std::string& text,
                                                PlatformDialect* type);
+[[nodiscard]] Result<PlacementMode> FromText(const std::string& text,
+                                             PlacementMode* type);
 [[nodiscard]] Result<FencingSupport> FromText(const std::string& text,
                                               FencingSupport* type);
 /// \returns The text itself when it can be a name, or the error.
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -154,6 +154,7 @@
     MaintainLinks(context);
   }
   UpdateInstanceShares(context.gateway);
+  UpdateCoordinators(context.gateway, event.up ? event.instance : InstanceId{});
   const PeerState* peer = FindPeer(context.gateway, event.instance);
   if (peer != nullptr && !peer->up && !peer->leaving_since && !peer->listed) {
     Handle(context, InstanceRemoved{event.instance});
@@ -238,6 +239,9 @@
   gateway.random.seed(seed);
   gateway.upstreams.speeds = gateway.config.speeds;
   gateway.spread = MakeRulesGossip({}, seed);
+  if (gateway.config.placement.coordinated != PlacementMode::kNever) {
+    gateway.placement.last_number = PlacementNumber{std::mt19937_64{seed}()};
+  }
   return gateway;
 }
 
@@ -254,6 +258,7 @@
   // cancelled.
   detail::ContinueDrain(context);
   detail::Dispatch(context);
+  detail::CoordinatePlacement(context);
   detail::SendLoadDigests(context);
   detail::PublishViews(context);
   return effects;
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -56,6 +56,7 @@
 template <typename Finish>
 void FinishAttempt(StepContext& context, RequestRecord& record,
                    Finish&& finish) {
+  ReportEnd(context, record);
   Attempt attempt = *record.running;
   MarkPromptRead(context, attempt, false);
   record.running.reset();
@@ -271,6 +272,7 @@
   RecordRunState(record->outcome, RunState::kRan);
   record->running->has_error_status = event.head.status >= kServerError;
   DisproveLoss(context, *record->running);
+  ReportBegun(context, *record);
   UpdateUpstreamLoad(context, *record, event.load);
   if (const auto* id = std::get_if<UpstreamId>(&record->running->target)) {
     RecordRateLimit(context, *id, event.rate_limit);
@@ -384,6 +386,7 @@
   record->last_failure = event.error.message;
   const bool suspected = CheckForCrash(context, *record, event);
   CountRun(*record, event.run);
+  record->placement.refused_by_engine = IsOverloadRefusal(event);
   FinishAttempt(context, *record, [&](const UpstreamId& id) {
     if (event.rate_limit) {
       RecordRateLimit(context, id, event.rate_limit);
--- a/src/decisions/gateway_drain.cc
+++ b/src/decisions/gateway_drain.cc
@@ -90,6 +90,7 @@
   gateway.drain_started = context.now;
   gateway.last_view_at = TimePoint{};
   UpdateInstanceShares(gateway);
+  UpdateCoordinators(gateway, {});
   context.effects.emplace_back(WriteLog{log_events::kDraining, {}});
   context.effects.emplace_back(AnnounceDeparture{});
 }
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -31,7 +31,10 @@
   for (UpstreamState& upstream : gateway.upstreams.upstreams) {
     EngineLoad& load = upstream.load;
     const double sent = std::exchange(load.unreported_tokens, 0);
-    if (upstream.in_flight > 0 || sent > 0) {
+    // The coordinator of a service counts the requests at its engines.
+    const bool counted = upstream.kind == UpstreamKind::kEngine &&
+                         HasActiveCoordinator(gateway, upstream.config.service);
+    if (!counted && (upstream.in_flight > 0 || sent > 0)) {
       digest.shares.push_back({HashUpstreamId(upstream.config.id),
                                static_cast<std::uint32_t>(upstream.in_flight),
                                ToUint32(load.unread_tokens), ToUint32(sent)});
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -21,18 +21,6 @@
           record.visited};
 }
 
-// Returns the need together with the prompt and the tie-breaking values that
-// the choice among upstreams takes into account.
-[[nodiscard]] UpstreamNeed PlacementNeedOf(const Gateway& gateway,
-                                           const RequestRecord& record) {
-  UpstreamNeed need = NeedOf(record);
-  const Prompt& prompt = record.arrival.head->prompt;
-  need.prompt = prompt.tokens_in > 0 ? &prompt : nullptr;
-  need.draw = record.arrival.number.value() * 2 + record.attempts;
-  need.spread = gateway.config.limits.placement_spread;
-  return need;
-}
-
 [[nodiscard]] Bytes RemainingWindow(const Gateway& gateway,
                                     const RequestRecord& record) {
   return gateway.config.limits.stream_window - record.unconsumed;
@@ -58,38 +46,6 @@
   return number;
 }
 
-void StartOnUpstream(StepContext& context, RequestRecord& record,
-                     const UpstreamChoice& choice) {
-  Gateway& gateway = context.gateway;
-  const UpstreamId& id = choice.id;
-  StartUpstreamAttempt start;
-  start.attempt =
-      BeginAttempt(context, record, id, {gateway.config.region, id.value()});
-  start.upstream = id;
-  start.head = record.arrival.head;
-  start.body = record.arrival.body;
-  start.priority = record.verdict.priority;
-  start.remaining = record.due - context.now;
-  start.credit = RemainingWindow(gateway, record);
-  start.last_event_id = record.last_event_id;
-  start.cache_source = choice.cache_source;
-  CountAttemptStart(gateway.upstreams, id);
-  record.running->expected = choice.expected;
-  record.running->prompt_tokens = choice.prompt_tokens;
-  if (UpstreamState* upstream = FindUpstream(gateway.upstreams, id)) {
-    RecordPromptSent(upstream->load, choice.prompt_tokens, context.now);
-    ConsumeRequestToken(upstream->rate, context.now);
-    if (upstream->kind == UpstreamKind::kEngine) {
-      const Prompt& prompt = record.arrival.head->prompt;
-      Touch(upstream->cache, prompt);
-      for (const PromptPart& part : TrackedSharedParts(prompt)) {
-        gateway.parts_read.push_back({HashUpstreamId(id), part});
-      }
-    }
-  }
-  context.effects.emplace_back(ForUpstreams{std::move(start)});
-}
-
 // Factor by which the expected end of an answer may be wrong.
 constexpr double kEstimateErrorFactor = 1.3;
 // Fraction of an engine's time spent reading prompts above which generations
@@ -219,6 +175,49 @@
 
 }  // namespace
 
+UpstreamNeed PlacementNeedOf(const Gateway& gateway,
+                             const RequestRecord& record) {
+  UpstreamNeed need = NeedOf(record);
+  const Prompt& prompt = record.arrival.head->prompt;
+  need.prompt = prompt.tokens_in > 0 ? &prompt : nullptr;
+  need.draw = record.arrival.number.value() * 2 + record.attempts;
+  need.spread = gateway.config.limits.placement_spread;
+  return need;
+}
+
+void StartOnUpstream(StepContext& context, RequestRecord& record,
+                     const UpstreamChoice& choice) {
+  Gateway& gateway = context.gateway;
+  const UpstreamId& id = choice.id;
+  StartUpstreamAttempt start;
+  start.attempt =
+      BeginAttempt(context, record, id, {gateway.config.region, id.value()});
+  start.upstream = id;
+  start.head = record.arrival.head;
+  start.body = record.arrival.body;
+  start.priority = record.verdict.priority;
+  start.remaining = record.due - context.now;
+  start.credit = RemainingWindow(gateway, record);
+  start.last_event_id = record.last_event_id;
+  start.cache_source = choice.cache_source;
+  CountAttemptStart(gateway.upstreams, id);
+  record.running->expected = choice.expected;
+  record.running->prompt_tokens = choice.prompt_tokens;
+  if (UpstreamState* upstream = FindUpstream(gateway.upstreams, id)) {
+    RecordPromptSent(upstream->load, choice.prompt_tokens, context.now);
+    ConsumeRequestToken(upstream->rate, context.now);
+    if (upstream->kind == UpstreamKind::kEngine) {
+      const Prompt& prompt = record.arrival.head->prompt;
+      Touch(upstream->cache, prompt);
+      ReportStart(context, record, *upstream);
+      for (const PromptPart& part : TrackedSharedParts(prompt)) {
+        gateway.parts_read.push_back({HashUpstreamId(id), part});
+      }
+    }
+  }
+  context.effects.emplace_back(ForUpstreams{std::move(start)});
+}
+
 bool IsForwardingAllowed(const RequestRecord& record) noexcept {
   return record.arrival.origin == Origin::kCaller && !record.resuming &&
          !record.keyed && record.visited.size() < kMaxHops - 1;
@@ -255,6 +254,19 @@
   context.effects.emplace_back(ForLinks{std::move(start)});
 }
 
+bool StartElsewhere(StepContext& context, RequestRecord& record) {
+  const RemoteChoice remote =
+      IsForwardingAllowed(record)
+          ? ChooseRemote(context.gateway, record, context.now)
+          : RemoteChoice{};
+  if (remote.peer == nullptr ||
+      !IsExpectedInTime(context, record, remote.expected)) {
+    return false;
+  }
+  StartOnInstance(context, record, *remote.peer);
+  return true;
+}
+
 void PlaceRequest(StepContext& context, RequestNumber number) {
   Gateway& gateway = context.gateway;
   RequestRecord& record = gateway.requests.at(number);
@@ -264,7 +276,7 @@
   if (record.verdict.service.empty()) {
     return RefuseOrAbort(context, record, NoService(*record.arrival.head));
   }
-  if (RefuseIfPoison(context, record)) {
+  if (RefuseIfPoison(context, record) || AskCoordinator(context, record)) {
     return;
   }
   const RegionId& region = gateway.config.region;
--- a/src/decisions/gateway_request.cc
+++ b/src/decisions/gateway_request.cc
@@ -110,6 +110,7 @@
   if (!record.running) {
     return;
   }
+  ReportEnd(context, record);
   Attempt attempt = *record.running;
   const bool overdue = IsOverdue(attempt, context.now);
   MarkPromptRead(context, attempt, false);
@@ -136,6 +137,7 @@
     return;
   }
   CancelRunningAttempt(context, *record);
+  ReportEnd(context, *record);
   if (record->queue_position) {
     RemoveWaiting(context.gateway.waiting, *record->queue_position);
   }
--- a/src/decisions/gateway_view.cc
+++ b/src/decisions/gateway_view.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "mimosagauge/impl/decisions/coordination/metrics.h"
 #include "mimosagauge/impl/decisions/gateway_detail.h"
 
 namespace mimosagauge {
@@ -111,7 +112,8 @@
   gateway.last_view_at = context.now;
   if (first || context.now - gateway.metrics_text_at >= kMetricsInterval) {
     gateway.metrics_text_at = context.now;
-    gateway.metrics_text = PrometheusText(gateway.metrics);
+    gateway.metrics_text = PrometheusText(gateway.metrics) +
+                           PlacementMetricsText(gateway.placement);
   }
   auto view = std::make_shared<const InstanceView>(View(gateway, context.now));
   context.effects.emplace_back(ForCallers{PublishView{view}});
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -184,6 +184,7 @@
     AddOrUpdateUpstream(context, record);
   }
   UpdateInstanceShares(gateway);
+  UpdateCoordinators(gateway, {});
   context.effects.emplace_back(WriteLog{
       log_events::kConfigurationAdopted,
       {{"version", std::to_string(gateway.catalogue->revision.value())},
@@ -206,6 +207,7 @@
   }
   AddOrUpdateUpstream(context, record);
   AssignUpstreamOwners(gateway);
+  UpdateCoordinators(gateway, {});
   if (log_change) {
     context.effects.emplace_back(
         WriteLog{log_events::kUpstreamLearned,
@@ -231,6 +233,7 @@
       WriteLog{log_events::kUpstreamGone, {{"upstream", event.id.value()}}});
   context.effects.emplace_back(
       ForUpstreams{RemoveUpstream{std::move(event.id)}});
+  UpdateCoordinators(context.gateway, {});
   context.gateway.all_services_freed = true;
 }
 
@@ -281,6 +284,7 @@
   }
   MaintainLinks(context);
   UpdateInstanceShares(gateway);
+  UpdateCoordinators(gateway, {});
 }
 
 void Handle(StepContext& context, InstanceRemoved&& event) {
@@ -299,12 +303,14 @@
     return peer.config.id == event.id;
   });
   Apply(context, SetMemberReachable(gateway.spread, event.id, false));
+  RemoveInstancePlacements(gateway.placement.own, event.id);
   context.effects.emplace_back(
       WriteLog{log_events::kInstanceGone, {{"peer", event.id.value()}}});
   context.effects.emplace_back(
       ForLinks{DisconnectInstance{std::move(event.id)}});
   MaintainLinks(context);
   UpdateInstanceShares(gateway);
+  UpdateCoordinators(gateway, {});
 }
 
 }  // namespace mimosagauge::detail
--- a/src/duties/links/duty.cc
+++ b/src/duties/links/duty.cc
@@ -47,6 +47,7 @@
     std::is_same_v<Effect, CancelAttempt> ||
     std::is_same_v<Effect, AddAttemptCredit> ||
     std::is_same_v<Effect, SendGossip> || std::is_same_v<Effect, SendLoad> ||
+    std::is_same_v<Effect, SendPlacement> ||
     std::is_same_v<Effect, ConnectInstance> ||
     std::is_same_v<Effect, DisconnectInstance>;
 
--- a/src/settings/contradictions.cc
+++ b/src/settings/contradictions.cc
@@ -184,6 +184,18 @@
   }
 }
 
+void CheckPlacement(const PlacementSettings& placement,
+                    SettingsReport& report) {
+  constexpr Duration kShortest = std::chrono::milliseconds(5);
+  constexpr Duration kLongest = std::chrono::seconds(1);
+  if (placement.answer_within < kShortest ||
+      placement.answer_within > kLongest) {
+    AddFault(report, "placement.answer_within",
+             "'placement.answer_within' is too short or too long",
+             "write a time from 5ms to 1s");
+  }
+}
+
 void CheckPeers(const Settings& settings, SettingsReport& report, Seen& seen) {
   Seen ids{{settings.instance.value(), "instance"}};
   for (std::size_t i = 0; i < settings.peers.size(); ++i) {
@@ -404,6 +416,7 @@
   CheckPlatform(settings, report, endpoints);
   CheckOwnDialect(settings, report);
   CheckRetries(settings.retries, report);
+  CheckPlacement(settings.placement, report);
   CheckPeers(settings, report, endpoints);
   CheckUpstreams(settings, report, endpoints);
   CheckAccounts(settings, report);
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -233,6 +233,10 @@
          settings.engines.prompt_tokens_per_ms);
     Read(*section, "first_token", settings.engines.first_token);
   }
+  if (auto section = OpenSection(file, "placement")) {
+    Read(*section, "coordinated", settings.placement.coordinated);
+    Read(*section, "answer_within", settings.placement.answer_within);
+  }
   if (auto section = OpenSection(file, "log")) {
     Read(*section, "level", settings.log_level);
   }
--- a/src/settings/section.cc
+++ b/src/settings/section.cc
@@ -288,6 +288,20 @@
                "write own or fleet"};
 }
 
+Result<PlacementMode> FromText(const std::string& text,
+                               PlacementMode* /*type*/) {
+  if (text == "never") {
+    return PlacementMode::kNever;
+  }
+  if (text == "auto" || text == "always") {
+    return text == "auto" ? PlacementMode::kAuto : PlacementMode::kAlways;
+  }
+  return Error{
+      ErrorKind::kInvalidSettings,
+      fmt::format("'{}' does not say when placement is coordinated", text),
+      "write never, auto or always"};
+}
+
 Result<FencingSupport> FromText(const std::string& text,
                                 FencingSupport* /*type*/) {
   if (text == "refuses" || text == "ignores") {
--- a/src/settings/settings_keys.cc
+++ b/src/settings/settings_keys.cc
@@ -151,6 +151,13 @@
      "tokens of a prompt that one reads in a millisecond"},
     {"engines.first_token", "time", "15ms",
      "until the first token where nothing waits"},
+    {"placement", "section", "the defaults below",
+     "how starts of requests at model engines are coordinated in a region"},
+    {"placement.coordinated", "never, auto or always", "never",
+     "auto: at services whose engines have fewer slots than the region has "
+     "instances"},
+    {"placement.answer_within", "time", "40ms",
+     "until an instance decides alone where its coordinator does not answer"},
     {"log", "section", "level info", "the log"},
     {"log.level", "debug, info, warning or error", "info",
      "the least level that is written"},
