--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -168,13 +168,14 @@
 /// \brief Periodic event that lets time-based work run.
 struct Tick {};
 
-using Event = std::variant<
-    RequestArrived, RequestAbandoned, AnswerConsumed, AttemptHeadReceived,
-    AttemptBodyReceived, AttemptEnded, AttemptFailed, RulesReceived,
-    CatalogueReceived, UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
-    InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
-    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick,
-    PlacementReceived>;
+using Event =
+    std::variant<RequestArrived, RequestAbandoned, AnswerConsumed,
+                 AttemptHeadReceived, AttemptBodyReceived, AttemptEnded,
+                 AttemptFailed, RulesReceived, CatalogueReceived,
+                 UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
+                 InstanceUpdated, InstanceRemoved, LinkChanged,
+                 StoreRevisionSeen, LoadReceived, GossipReceived,
+                 ClaimStoreAnswered, DrainRequested, Tick, PlacementReceived>;
 
 }  // namespace mimosagauge
 
