--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -139,6 +139,13 @@
   std::shared_ptr<const TrafficMessage> message;  ///< Never null.
 };
 
+/// \brief Sends a message about placement to another instance of this region.
+/// The message may be lost.
+struct SendPlacement {
+  InstanceId to;
+  PlacementMessage message;
+};
+
 /// \brief Publishes a view of this instance, which replaces the previous one.
 struct PublishView {
   InstanceViewPtr view;  ///< Never null.
@@ -162,8 +169,8 @@
 using LinkEffect =
     std::variant<StartLinkAttempt, CancelAttempt, AddAttemptCredit,
                  SendAnswerHead, SendAnswerBody, SendAnswerEnd, AbortAnswer,
-                 SendProblem, SendGossip, SendLoad, SendTraffic,
-                 ConnectInstance, DisconnectInstance>;
+                 SendProblem, SendGossip, SendLoad, ConnectInstance,
+                 DisconnectInstance, SendTraffic, SendPlacement>;
 
 /// \brief An effect for one duty; the wrapper's type names the duty.
 struct ForUpstreams {
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/coordination/messages.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/request.h"
@@ -156,6 +157,13 @@
   TrafficMessage message;
 };
 
+/// \brief A message about placement was received from an instance of this
+/// region.
+struct PlacementReceived {
+  InstanceId from;
+  PlacementMessage message;
+};
+
 /// \brief A call to the store about claims of keys was answered or failed.
 struct ClaimStoreAnswered {
   StoreEvent answer;
@@ -167,14 +175,13 @@
 /// \brief Periodic event that lets time-based work run.
 struct Tick {};
 
-using Event =
-    std::variant<RequestArrived, RequestAbandoned, AnswerConsumed,
-                 AttemptHeadReceived, AttemptBodyReceived, AttemptEnded,
-                 AttemptFailed, RulesReceived, CatalogueReceived,
-                 UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
-                 InstanceUpdated, InstanceRemoved, LinkChanged,
-                 StoreRevisionSeen, LoadReceived, TrafficReceived,
-                 GossipReceived, ClaimStoreAnswered, DrainRequested, Tick>;
+using Event = std::variant<
+    RequestArrived, RequestAbandoned, AnswerConsumed, AttemptHeadReceived,
+    AttemptBodyReceived, AttemptEnded, AttemptFailed, RulesReceived,
+    CatalogueReceived, UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
+    InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
+    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick,
+    TrafficReceived, PlacementReceived>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/decisions/config.h"
+#include "mimosagauge/impl/decisions/coordination/asker.h"
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
 #include "mimosagauge/impl/decisions/gateway_metrics.h"
@@ -87,8 +88,9 @@
   std::optional<KeyedState> keyed;  ///< Set only for requests that have
                                     ///< a key and are not idempotent.
   bool completed = false;           ///< The answer was received completely.
-  bool detached = false;     ///< The sender disconnected; the run continues.
-  std::string last_failure;  ///< Error message of the last failed attempt.
+  bool detached = false;       ///< The sender disconnected; the run continues.
+  std::string last_failure;    ///< Error message of the last failed attempt.
+  RequestPlacement placement;  ///< Of the current attempt at an engine.
 };
 
 /// \brief State of another instance, as seen by this one.
@@ -155,6 +157,7 @@
   ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
   PoisonTable poison;
+  PlacementState placement;
   /// Requests lost at upstreams of which it is not known yet whether their
   /// process has ended.
   std::unordered_map<UpstreamId, UnconfirmedLoss> unconfirmed_losses;
--- a/src/decisions/gateway_traffic.cc
+++ b/src/decisions/gateway_traffic.cc
@@ -231,7 +231,7 @@
                                     const RequestRecord& record) {
   Gateway& gateway = context.gateway;
   if (!IsPlanned(gateway, record) || !IsForwardingAllowed(record) ||
-      record.attempts > 0) {
+      record.attempts > 0 || record.placement.phase != PlacementPhase::kNone) {
     return nullptr;
   }
   const RegionId region = PlannedRegion(
--- a/src/duties/links/gossip.cc
+++ b/src/duties/links/gossip.cc
@@ -1,4 +1,4 @@
-// Distinguishes load digests from other control state by their tag.
+// Distinguishes the kinds of control state by their tags.
 
 #include "mimosagauge/impl/duties/links/gossip.h"
 
@@ -6,40 +6,40 @@
 
 #include "mimosagauge/impl/duties/common/log.h"
 #include "mimosagauge/impl/wire/load_codec.h"
+#include "mimosagauge/impl/wire/placement_codec.h"
 #include "mimosagauge/impl/wire/traffic_codec.h"
 
 namespace mimosagauge {
 namespace {
 
-void PostTraffic(Mailbox<Event>& decisions, const InstanceId& from,
-                 const std::string& data) {
-  Result<TrafficMessage> message = DecodeTrafficMessage(data);
+// Posts a decoded message as an event, or logs that it is not valid.
+template <typename ReceivedEvent, typename Message>
+void PostDecoded(Mailbox<Event>& decisions, const InstanceId& from,
+                 Result<Message> message) {
   if (!message) {
     Log(log_events::kLinkInvalidFrames,
         {{"peer", from.value()}, {"error", message.error().message}});
     return;
   }
-  decisions.Post(TrafficReceived{from, std::move(message.value())});
+  decisions.Post(ReceivedEvent{from, std::move(message.value())});
 }
 
 }  // namespace
 
 void PostGossip(Mailbox<Event>& decisions, const InstanceId& from,
                 std::string data) {
-  if (!data.empty() && data.front() == kTrafficTag) {
-    return PostTraffic(decisions, from, data);
+  switch (data.empty() ? '\0' : data.front()) {
+    case kLoadDigestTag:
+      return PostDecoded<LoadReceived>(decisions, from, DecodeLoadDigest(data));
+    case kPlacementTag:
+      return PostDecoded<PlacementReceived>(decisions, from,
+                                            DecodePlacementMessage(data));
+    case kTrafficTag:
+      return PostDecoded<TrafficReceived>(decisions, from,
+                                          DecodeTrafficMessage(data));
+    default:
+      decisions.Post(GossipReceived{from, std::move(data)});
   }
-  if (data.empty() || data.front() != kLoadDigestTag) {
-    decisions.Post(GossipReceived{from, std::move(data)});
-    return;
-  }
-  Result<LoadDigest> digest = DecodeLoadDigest(data);
-  if (!digest) {
-    Log(log_events::kLinkInvalidFrames,
-        {{"peer", from.value()}, {"error", digest.error().message}});
-    return;
-  }
-  decisions.Post(LoadReceived{from, std::move(digest.value())});
 }
 
 }  // namespace mimosagauge
