--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -64,6 +64,9 @@
   /// Time until a request is placed locally without an answer of the
   /// coordinator.
   Duration answer_within = std::chrono::milliseconds(40);
+  /// Where requests follow a plan for the traffic between regions; auto: at
+  /// services whose placement is coordinated.
+  PlacementMode plan_regions = PlacementMode::kNever;
 };
 
 /// \brief Limits of the gateway state machine.
@@ -110,9 +113,6 @@
   HashFunction hash;  ///< Must be set if requests with idempotency keys are
                       ///< accepted.
   EngineSpeeds speeds;
-  /// Whether requests for engines follow a plan for the traffic between
-  /// regions.
-  bool plan_traffic = false;
   GatewayLimits limits;
   Bytes memory{};  ///< Of this process; zero: not known.
   PlacementSettings placement{};
--- a/src/decisions/gateway_traffic.cc
+++ b/src/decisions/gateway_traffic.cc
@@ -20,9 +20,21 @@
 // Decode work of one token relative to a full batch: batches are half full.
 constexpr double kBatchFactor = 2;
 
+// Whether the traffic of any service is planned.
+[[nodiscard]] bool IsPlanning(const Gateway& gateway) {
+  const PlacementMode mode = gateway.config.placement.plan_regions;
+  return gateway.catalogue != nullptr &&
+         (mode == PlacementMode::kAlways ||
+          (mode == PlacementMode::kAuto &&
+           !gateway.placement.coordinators.empty()));
+}
+
 [[nodiscard]] bool IsPlanned(const Gateway& gateway,
                              const RequestRecord& record) {
-  return gateway.config.plan_traffic && gateway.catalogue != nullptr &&
+  const bool planned =
+      gateway.config.placement.plan_regions == PlacementMode::kAlways ||
+      gateway.placement.coordinators.contains(record.verdict.service);
+  return IsPlanning(gateway) && planned &&
          record.arrival.head->prompt.tokens_in > 0;
 }
 
@@ -190,8 +202,7 @@
 void SendTrafficMessages(StepContext& context) {
   Gateway& gateway = context.gateway;
   RegionTraffic& traffic = gateway.traffic;
-  if (!gateway.config.plan_traffic || gateway.catalogue == nullptr ||
-      context.now < traffic.next_message_at) {
+  if (!IsPlanning(gateway) || context.now < traffic.next_message_at) {
     return;
   }
   traffic.next_message_at = context.now + RegionTraffic::kInterval;
@@ -213,7 +224,7 @@
 void Handle(StepContext& context, TrafficReceived&& event) {
   Gateway& gateway = context.gateway;
   const PeerState* peer = FindPeer(gateway, event.from);
-  if (peer == nullptr || !gateway.config.plan_traffic) {
+  if (peer == nullptr || !IsPlanning(gateway)) {
     return;
   }
   const bool in_region = IsInOwnRegion(gateway, *peer);
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -236,6 +236,7 @@
   if (auto section = OpenSection(file, "placement")) {
     Read(*section, "coordinated", settings.placement.coordinated);
     Read(*section, "answer_within", settings.placement.answer_within);
+    Read(*section, "plan_regions", settings.placement.plan_regions);
   }
   if (auto section = OpenSection(file, "log")) {
     Read(*section, "level", settings.log_level);
--- a/src/settings/settings_keys.cc
+++ b/src/settings/settings_keys.cc
@@ -158,6 +158,9 @@
      "instances"},
     {"placement.answer_within", "time", "40ms",
      "until an instance decides alone where its coordinator does not answer"},
+    {"placement.plan_regions", "never, auto or always", "never",
+     "whether requests follow a plan for the traffic between regions; auto: "
+     "at services whose placement is coordinated"},
     {"log", "section", "level info", "the log"},
     {"log.level", "debug, info, warning or error", "info",
      "the least level that is written"},
