Tests: give the reply in the world of keyed calls a name of its own

In a build with -O0 the linker keeps one of their assignments for both, and the stand-in of the store ended with a segmentation fault in "only the operators' token lets a request in" and "each path answers its methods".

The one in once_world.h is now StoreReplyMessage.

Measured, -O0: unit_tests ended with SIGSEGV at its 124th case before; all 283 cases pass now.

--- a/tests/support/once_world.h
+++ b/tests/support/once_world.h
@@ -51,13 +51,13 @@
   std::size_t from = 0;
   std::variant<LoadSlot, CommitClaims> request;
 };
-struct StoreHttpAnswer {
+struct StoreReplyMessage {
   KeyOwner to;
   StoreEvent event;
 };
 using Message =
     std::variant<CallMessage, ClaimAsk, ClaimBinding, RefuseClaim, StoreMessage,
-                 StoreHttpAnswer, HandoverChunk, HandoverNotice>;
+                 StoreReplyMessage, HandoverChunk, HandoverNotice>;
 
 struct Envelope {
   std::size_t to = 0;  ///< Instance, or `kStore`.
