Accounts: authenticate requests at the entry, and bind them to their account

The configuration may list client accounts with keys. The adapter reads the bearer key and drops the caller's own X-Mimosagauge-Tenant; the gateway decides on arrival from a caller: 401 for a missing or unknown key unless the route is public, and a copy of the head without key and Authorization for the rest. The upstream gets the account's name. A request over a link is decided again by name.

Each evaluation of the verdict applies the account's priority and the intersection of the homes; where that is empty, or the account was removed meanwhile, the request is refused as not run. With strict revocation, which no setting turns on yet, keys are accepted only while the configuration is confirmed; other instances are asked while the store does not confirm it.

Refusals are counted by reason and logged at most every 10 s. Configurations without accounts are handled as before.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -121,6 +121,16 @@
 inline constexpr LogEvent kZoneEvacuated{
     8204, LogLevel::kInfo, "an availability zone was evacuated or opened again",
     ""};
+inline constexpr LogEvent kKeysRefused{
+    8301, LogLevel::kWarning,
+    "the configuration is unconfirmed; requests with keys are refused",
+    "look at the store and the links of this instance; it ends by itself"};
+inline constexpr LogEvent kKeysAccepted{
+    8302, LogLevel::kInfo,
+    "the configuration is confirmed; requests with keys are accepted", ""};
+inline constexpr LogEvent kAccountRefusals{
+    8303, LogLevel::kWarning, "requests were refused for their keys",
+    "look for a caller with a revoked, mistyped or missing key"};
 inline constexpr LogEvent kInstanceLearned{
     7001, LogLevel::kInfo, "another instance appeared or changed its address",
     ""};
--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -94,6 +94,9 @@
                       ///< accepted.
   EngineSpeeds speeds;
   GatewayLimits limits;
+  /// Time after which a key that the operators removed must be refused, also
+  /// where the store cannot be reached; empty: strict revocation is off.
+  std::optional<Duration> strict_revocation;
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/accounts/confirmation.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/request.h"
@@ -149,6 +150,20 @@
   LoadDigest digest;
 };
 
+/// \brief The store's newest configuration was known at a time. Posted only
+/// under strict revocation, after the configuration itself.
+struct ConfigurationConfirmed {
+  Revision version;
+  TimePoint as_of;  ///< When the answered call to the store was sent.
+};
+
+/// \brief A question for the newest configuration, or the answer to one, was
+/// received from another instance.
+struct ConfirmationReceived {
+  InstanceId from;
+  ConfirmationMessage message;
+};
+
 /// \brief A call to the store about claims of keys was answered or failed.
 struct ClaimStoreAnswered {
   StoreEvent answer;
@@ -165,7 +180,8 @@
     AttemptBodyReceived, AttemptEnded, AttemptFailed, RulesReceived,
     CatalogueReceived, UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
     InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
-    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick>;
+    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick,
+    ConfigurationConfirmed, ConfirmationReceived>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -16,6 +16,8 @@
 #include <variant>
 #include <vector>
 
+#include "mimosagauge/impl/decisions/accounts/confirmation.h"
+#include "mimosagauge/impl/decisions/accounts/refusal_log.h"
 #include "mimosagauge/impl/decisions/config.h"
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
@@ -159,6 +161,10 @@
   /// Rate limits of upstreams heard since the last digest to the instances of
   /// this region.
   std::unordered_map<UpstreamHash, NamedLimit> limits_heard;
+  Confirmation confirmation;
+  /// Whether the last log entry about it said that keys are accepted.
+  bool logged_accepting_keys = false;
+  RefusalLog account_refusals;
   AttemptNumber last_attempt;
   std::optional<TimePoint> drain_started;  ///< Empty: not draining.
   bool refusing_requests = false;  ///< The leave notice is over, and new
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -126,6 +126,35 @@
 void GrantAttemptCredit(StepContext& context, const RequestRecord& record,
                         Bytes bytes);
 
+/// \returns The route of the request under the configuration in force, or null.
+[[nodiscard]] const Route* RouteOf(const RouteCatalogue& catalogue,
+                                   const RequestHead& head);
+
+/// \brief Authenticates a request that has arrived, where the configuration
+/// requires accounts. Its head is then replaced by one with its account and
+/// without the caller's key.
+/// \returns The problem to refuse the request with, or nothing.
+[[nodiscard]] std::optional<Problem> AuthenticateArrival(
+    StepContext& context, RequestArrived& arrival);
+
+/// \brief Applies the priority and the home regions of the request's account.
+void ApplyAccount(const Gateway& gateway, const RequestHead& head,
+                  Verdict& verdict);
+
+/// \brief Refuses the request, or aborts its answer, if the configuration no
+/// longer contains its account, or if its route and its account have no home
+/// region in common.
+/// \returns Whether it was refused; the record is then no longer valid.
+bool RefuseIfAccountForbids(StepContext& context, RequestRecord& record);
+
+/// \brief Removes the callers' keys from the requests in progress, which
+/// arrived before the configuration required accounts.
+void RemoveCredentials(Gateway& gateway);
+
+/// \brief Asks other instances for the newest configuration when that is due,
+/// and logs when keys are accepted and refused from now on.
+void MaintainConfirmation(StepContext& context);
+
 /// \brief Marks the upstream's service as having new capacity, so that
 /// `Dispatch` tries its waiting requests.
 void MarkCapacityFreed(Gateway& gateway, const UpstreamId& upstream);
@@ -268,6 +297,8 @@
 void Handle(StepContext& context, LinkChanged&& event);
 void Handle(StepContext& context, GossipReceived&& event);
 void Handle(StepContext& context, ClaimStoreAnswered&& event);
+void Handle(StepContext& context, ConfigurationConfirmed&& event);
+void Handle(StepContext& context, ConfirmationReceived&& event);
 void Handle(StepContext& context, DrainRequested&& event);
 void Handle(StepContext& context, Tick&& event);
 void Handle(StepContext& context, AttemptHeadReceived&& event);
--- a/include/mimosagauge/impl/decisions/gateway_metrics.h
+++ b/include/mimosagauge/impl/decisions/gateway_metrics.h
@@ -12,6 +12,7 @@
 #include <boost/accumulators/statistics/sum.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "mimosagauge/impl/core/ids.h"
@@ -61,9 +62,21 @@
   TimeSummary total;            ///< Time from arrival to the answer's end.
 };
 
+/// \brief Counters of the authentication of requests, and of the confirmation
+/// of the configuration under strict revocation.
+struct AccountMetrics {
+  std::map<std::string, std::uint64_t> refused;  ///< Requests, by reason.
+  bool strict = false;  ///< Strict revocation is on; else the rest is unused.
+  std::uint64_t confirmed_by_store = 0;
+  std::uint64_t confirmed_by_peers = 0;
+  /// Age of the confirmation; empty: the configuration was never confirmed.
+  std::optional<Duration> confirmation_age;
+};
+
 /// \brief All metrics of the gateway state machine.
 struct GatewayMetrics {
   std::map<ServiceId, ServiceMetrics> services;
+  AccountMetrics accounts;
   std::uint64_t discarded = 0;  ///< Events received for attempts that had
                                 ///< already ended.
 };
--- a/include/mimosagauge/impl/decisions/problems.h
+++ b/include/mimosagauge/impl/decisions/problems.h
@@ -47,6 +47,18 @@
 /// The instance is shutting down.
 [[nodiscard]] Problem Stopping(RunState run);
 
+/// The request has no key of an account, or one that no account has.
+[[nodiscard]] Problem Unauthenticated(bool has_key);
+/// The configuration in force is not known to be recent enough to decide about
+/// keys.
+[[nodiscard]] Problem ConfigurationUnconfirmed();
+/// The configuration in force does not contain the account of a request that
+/// was authenticated before.
+[[nodiscard]] Problem AccountGone(RunState run);
+/// The home regions of the request's route and of its account have no region in
+/// common.
+[[nodiscard]] Problem NoCommonRegion(const RequestHead& head, RunState run);
+
 /// Requests with the same content have crashed upstreams. The status is 503 if
 /// this request was not run, else 502.
 /// \param remaining The time until requests with it are accepted again.
--- a/include/mimosagauge/impl/duties/links/duty.h
+++ b/include/mimosagauge/impl/duties/links/duty.h
@@ -59,6 +59,7 @@
   [[nodiscard]] const LinkServer& server() const noexcept { return server_; }
 
  private:
+  void Send(SendConfirmation&& confirmation);
   [[nodiscard]] Result<LinkTlsContextPtr> MakeTlsContext() const;
 
   const Settings& settings_;
--- a/include/mimosagauge/impl/duties/links/server.h
+++ b/include/mimosagauge/impl/duties/links/server.h
@@ -65,6 +65,9 @@
   void Handle(const SendAnswerEnd& end);
   void Handle(AbortAnswer&& abort);
   void Handle(SendProblem&& answer);
+  /// \brief Sends the answer to a question of another instance over the
+  /// connection by which the question came; drops it if that is closed.
+  void Handle(SendConfirmation&& answer);
 
   [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
   [[nodiscard]] const LinkServerCounters& counters() const noexcept {
--- a/include/mimosagauge/impl/rules/verdict.h
+++ b/include/mimosagauge/impl/rules/verdict.h
@@ -28,7 +28,7 @@
 struct Verdict {
   ServiceId service;  ///< The service to route to; empty when none is named.
   /// Regions in which the request may be served; without a value, any region.
-  /// The list is never empty.
+  /// An empty list: no region may serve it.
   std::optional<std::vector<RegionId>> regions;
   /// A smaller number is served first.
   std::uint8_t priority = kDefaultPriority;
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -71,6 +71,9 @@
   if (gateway.requests.size() >= gateway.config.limits.requests) {
     return RefuseArrival(context, arrival, Overloaded(RunState::kNotRun));
   }
+  if (auto problem = AuthenticateArrival(context, arrival)) {
+    return RefuseArrival(context, arrival, std::move(*problem));
+  }
   RequestRecord record;
   record.arrived = context.now;
   record.route_draw = std::uniform_real_distribution<double>()(gateway.random);
@@ -209,11 +212,13 @@
   if (gateway.catalogue == nullptr) {
     return DecideByRules(*gateway.rules, TraitsOf(head));
   }
-  const std::string_view path =
-      std::string_view(head.target).substr(0, head.target.find('?'));
-  const Route* route = FindRoute(*gateway.catalogue, head.host, path);
-  return route == nullptr ? Verdict{}
-                          : MakeVerdict(*route, head, record.route_draw);
+  const Route* route = RouteOf(*gateway.catalogue, head);
+  if (route == nullptr) {
+    return {};
+  }
+  Verdict verdict = MakeVerdict(*route, head, record.route_draw);
+  ApplyAccount(gateway, head, verdict);
+  return verdict;
 }
 
 PeerState* FindPeer(Gateway& gateway, const InstanceId& id) noexcept {
@@ -234,6 +239,9 @@
     gateway.peers.emplace_back().config = peer;
   }
   gateway.waiting.capacity = config.limits.queued;
+  gateway.confirmation =
+      MakeConfirmation(config.strict_revocation, config.self.nonce);
+  gateway.metrics.accounts.strict = IsStrict(gateway.confirmation);
   gateway.config = std::move(config);
   gateway.random.seed(seed);
   gateway.upstreams.speeds = gateway.config.speeds;
@@ -255,6 +263,7 @@
   detail::ContinueDrain(context);
   detail::Dispatch(context);
   detail::SendLoadDigests(context);
+  detail::MaintainConfirmation(context);
   detail::PublishViews(context);
   return effects;
 }
--- a/src/decisions/gateway_metrics.cc
+++ b/src/decisions/gateway_metrics.cc
@@ -79,6 +79,40 @@
   }
 }
 
+void AppendAccounts(std::string& text, const AccountMetrics& metrics) {
+  auto out = std::back_inserter(text);
+  if (!metrics.refused.empty()) {
+    text +=
+        "# HELP mimosagauge_key_refusals_total Requests refused for their "
+        "keys or accounts.\n"
+        "# TYPE mimosagauge_key_refusals_total counter\n";
+  }
+  for (const auto& [reason, count] : metrics.refused) {
+    fmt::format_to(out, "mimosagauge_key_refusals_total{{reason=\"{}\"}} {}\n",
+                   reason, count);
+  }
+  if (!metrics.strict) {
+    return;
+  }
+  fmt::format_to(
+      out,
+      "# HELP mimosagauge_confirmations_total Confirmations that the "
+      "configuration in force is the newest.\n"
+      "# TYPE mimosagauge_confirmations_total counter\n"
+      "mimosagauge_confirmations_total{{source=\"store\"}} {}\n"
+      "mimosagauge_confirmations_total{{source=\"instances\"}} {}\n",
+      metrics.confirmed_by_store, metrics.confirmed_by_peers);
+  if (metrics.confirmation_age) {
+    fmt::format_to(
+        out,
+        "# HELP mimosagauge_confirmation_age_seconds Time since the "
+        "configuration in force was known to be the newest.\n"
+        "# TYPE mimosagauge_confirmation_age_seconds gauge\n"
+        "mimosagauge_confirmation_age_seconds {:.3f}\n",
+        std::chrono::duration<double>(*metrics.confirmation_age).count());
+  }
+}
+
 }  // namespace
 
 TimeSummary::TimeSummary()
@@ -109,6 +143,7 @@
   std::string text;
   AppendCounters(text, metrics);
   AppendRefusals(text, metrics);
+  AppendAccounts(text, metrics.accounts);
   AppendSummary(text, metrics, "first_byte",
                 "Time from arrival to the answer's first byte.",
                 &ServiceMetrics::first_byte);
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -264,7 +264,8 @@
   if (record.verdict.service.empty()) {
     return RefuseOrAbort(context, record, NoService(*record.arrival.head));
   }
-  if (RefuseIfPoison(context, record)) {
+  if (RefuseIfAccountForbids(context, record) ||
+      RefuseIfPoison(context, record)) {
     return;
   }
   const RegionId& region = gateway.config.region;
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -173,6 +173,7 @@
     return;
   }
   gateway.catalogue = std::move(event.catalogue);
+  RemoveCredentials(gateway);
   gateway.last_view_at = TimePoint{};
   gateway.all_services_freed = true;
   for (const auto& [service, profile] : gateway.catalogue->services) {
--- a/src/decisions/problems.cc
+++ b/src/decisions/problems.cc
@@ -11,6 +11,7 @@
 namespace mimosagauge {
 namespace {
 
+constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kBadGateway = 502;
 constexpr std::uint16_t kServiceUnavailable = 503;
@@ -76,8 +77,9 @@
 }
 
 bool IsRefusedBeforeAttempt(const Problem& problem) {
-  constexpr std::array<std::string_view, 4> kTypesBeforeAttempt{
-      "not-ready", "older-configuration", "path-refused", "stopping"};
+  constexpr std::array<std::string_view, 5> kTypesBeforeAttempt{
+      "not-ready", "older-configuration", "path-refused", "stopping",
+      "account-gone"};
   return problem.run == RunState::kNotRun &&
          std::find(kTypesBeforeAttempt.begin(), kTypesBeforeAttempt.end(),
                    problem.type) != kTypesBeforeAttempt.end();
@@ -179,6 +181,49 @@
       "the instance is shutting down and accepts no new requests", run);
 }
 
+Problem Unauthenticated(bool has_key) {
+  return MakeProblem(
+      kUnauthorized,
+      {has_key ? "unknown-key" : "missing-key",
+       "The request needs the key of an account",
+       "send Authorization: Bearer KEY with a key that the operators gave out"},
+      has_key ? "no account has the key of the request"
+              : "the request has no Authorization field with a bearer key",
+      RunState::kNotRun);
+}
+
+Problem ConfigurationUnconfirmed() {
+  return MakeProblem(
+      kServiceUnavailable,
+      {"unconfirmed-configuration",
+       "This instance cannot decide about keys now",
+       "retry the request, also at another instance"},
+      "this instance has not been able to confirm for some time that it has "
+      "the operators' newest configuration",
+      RunState::kNotRun);
+}
+
+Problem AccountGone(RunState run) {
+  return MakeProblem(
+      kServiceUnavailable,
+      {"account-gone", "The account of the request was removed",
+       "retry the request"},
+      "the newest configuration does not contain the account of the request",
+      run);
+}
+
+Problem NoCommonRegion(const RequestHead& head, RunState run) {
+  return MakeProblem(
+      kServiceUnavailable,
+      {"no-common-region", "No region may serve this request",
+       "ask the operators; the home regions of the account exclude those of "
+       "the route"},
+      fmt::format("the home regions of the account and those of the route for "
+                  "{} have none in common",
+                  DescribeTarget(head)),
+      run);
+}
+
 Problem PoisonRefused(std::string detail, RunState run, Duration remaining) {
   Problem problem = MakeProblem(
       run == RunState::kNotRun ? kServiceUnavailable : kBadGateway,
--- a/src/duties/links/duty.cc
+++ b/src/duties/links/duty.cc
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/wire/confirmation_codec.h"
 
 namespace mimosagauge {
 namespace {
@@ -92,11 +93,24 @@
   server_.Stop();
 }
 
+// A question goes out by the link that this instance opened, and its answer
+// comes back by the same one: an instance of another region that is asked need
+// not have a link of its own to the one that asks.
+void LinkDuty::Send(SendConfirmation&& confirmation) {
+  if (confirmation.message.confirmed) {
+    return server_.Handle(std::move(confirmation));
+  }
+  client_.Handle(SendGossip{std::move(confirmation.to),
+                            EncodeConfirmation(confirmation.message)});
+}
+
 void LinkDuty::Handle(LinkEffect&& effect) {
   std::visit(
       [this](auto&& typed) {
         using Typed = std::decay_t<decltype(typed)>;
-        if constexpr (kIsClientEffect<Typed>) {
+        if constexpr (std::is_same_v<Typed, SendConfirmation>) {
+          Send(std::forward<decltype(typed)>(typed));
+        } else if constexpr (kIsClientEffect<Typed>) {
           client_.Handle(std::forward<decltype(typed)>(typed));
         } else {
           server_.Handle(std::forward<decltype(typed)>(typed));
--- a/src/duties/links/server.cc
+++ b/src/duties/links/server.cc
@@ -13,6 +13,7 @@
 #include "mimosagauge/impl/duties/common/log.h"
 #include "mimosagauge/impl/duties/links/gossip.h"
 #include "mimosagauge/impl/duties/links/log.h"
+#include "mimosagauge/impl/wire/confirmation_codec.h"
 
 namespace mimosagauge {
 namespace {
@@ -566,6 +567,16 @@
   }
 }
 
+void LinkServer::Handle(SendConfirmation&& answer) {
+  for (const auto& [connection, link] : links_) {
+    if (connection->is_open() && connection->peer() == answer.to) {
+      connection->SendControl(
+          GossipMessage{EncodeConfirmation(answer.message)});
+      return;
+    }
+  }
+}
+
 std::uint64_t LinkServer::bytes_written() const noexcept {
   std::uint64_t bytes = 0;
   for (const auto& [connection, link] : links_) {
