Strict revocation: setting, confirmation by polls of the store, and tests

`revocation.strict` is the time after which a removed key must be refused at every instance. With it, the fleet duty posts the time at which each answered poll or full read was sent, and lets the store hold a poll for less than 4 s (0.6 s for a bound of 5 s), so that polls alone keep the age of the confirmation below the bound with one poll lost. Without it nothing changes.

The two renderers of that template in this repository (tests/support, review/stand) drop sections that they do not set; without that the stand would start its instances with a settings file that is no YAML.

--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -42,6 +42,13 @@
   Duration return_grace = std::chrono::milliseconds(2200);
 };
 
+/// \returns How long the store may hold a poll under strict revocation, so that
+/// the polls alone keep the age of the confirmation below its limit when one of
+/// them is lost. The sum is in docs/design/011-accounts.md.
+/// \param strict The time within which a revoked key must be refused.
+[[nodiscard]] Duration PollWaitFor(Duration strict,
+                                   const FleetDutyTimings& times) noexcept;
+
 /// \brief Posts the store's entries and their changes to the decisions.
 ///
 /// All functions except the constructor run on the thread of `io_context`.
@@ -78,6 +85,7 @@
     std::unordered_map<std::string, StoreEntry> entries;  // By key.
     // Store revision of the first page; zero: no page arrived yet.
     StoreRevision start_revision;
+    TimePoint started_at{};
   };
 
   // Registration.
@@ -97,7 +105,9 @@
                   std::size_t prefix_index, const StoreReadResult& page);
   void ApplyFullRead(const FullRead& read);
   void Poll();
-  void HandlePollUpdate(const StoreWatchUpdate& update);
+  void HandlePollUpdate(const StoreWatchUpdate& update, TimePoint sent_at);
+  // Reports that the configuration posted last was the newest one at `as_of`.
+  void PostConfirmation(TimePoint as_of);
   void AdvanceSeenRevision(StoreRevision revision);
   void RunAfter(Duration delay, void (FleetDuty::*next_step)());
 
@@ -133,6 +143,8 @@
   StoreRevision seen_revision_;
   /// Revisions of the entries processed, by key.
   std::unordered_map<std::string, StoreRevision> posted_revisions_;
+  // Version of the configuration that was posted last; zero: none.
+  Revision configuration_version_;
   // The read of the whole store in progress, or to be started again after a
   // failed call; null: none. Answers to calls of an earlier read are ignored.
   std::shared_ptr<FullRead> read_;
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -99,6 +99,13 @@
   double slack = 10;   ///< Beyond that, in any window.
 };
 
+/// \brief How soon a key that the operators removed is refused.
+struct RevocationSettings {
+  /// At every instance, also where the store cannot be reached; empty: an
+  /// instance without the store goes on accepting the keys that it knows.
+  std::optional<Duration> strict;
+};
+
 /// \brief What is assumed of upstreams until their answers show it.
 struct EngineSettings {
   double prompt_tokens_per_ms = EngineSpeeds{}.prompt_tokens_per_ms;
@@ -150,6 +157,7 @@
   bool one_thread = false;   ///< All duties share one event loop.
   bool plain_links = false;  ///< Links need no TLS: the network is trusted.
   RetrySettings retries;
+  RevocationSettings revocation;
   EngineSettings engines;
   std::string operator_token;
   /// Shared by all instances; signs the tickets of idempotency keys. Empty: no
--- a/review/stand/gateway.cc
+++ b/review/stand/gateway.cc
@@ -27,6 +27,19 @@
   }
 }
 
+// Removes the sections whose value this stand does not set.
+void RemoveSections(std::string& text) {
+  const std::string mark = "{{#";
+  for (std::size_t at = text.find(mark); at != std::string::npos;
+       at = text.find(mark)) {
+    const std::size_t name_end = text.find("}}", at);
+    const std::string end =
+        "{{/" + text.substr(at + mark.size(), name_end - at - mark.size()) +
+        "}}";
+    text.erase(at, text.find(end, at) + end.size() - at);
+  }
+}
+
 [[nodiscard]] std::string Address(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
@@ -45,6 +58,7 @@
   const std::size_t section = text.find(begin);
   text.replace(section, text.find(end) + end.size() - section,
                "  - id: \"nairobi-a\"\n    region: \"nairobi\"");
+  RemoveSections(text);
   const std::map<std::string, std::string> values{
       {"{{node}}", place.node},
       {"{{region}}", "nairobi"},
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -384,6 +384,7 @@
   if (settings.dialect == PlatformDialect::kFleet) {
     config.limits.placement_spread = kPlacementSpread;
   }
+  config.strict_revocation = settings.revocation.strict;
   config.speeds.prompt_tokens_per_ms = settings.engines.prompt_tokens_per_ms;
   config.speeds.first_token = settings.engines.first_token;
   return config;
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -7,7 +7,9 @@
 #include <random>
 #include <utility>
 
+#include "mimosagauge/impl/decisions/accounts/confirmation.h"
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/common/monotonic_clock.h"
 #include "mimosagauge/impl/store/json_document.h"
 
 namespace mimosagauge {
@@ -17,6 +19,13 @@
 // limit of one answer.
 constexpr int kAttemptsPerCall = 2;
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(500);
+// Under strict revocation, the second attempt of a poll must be answered before
+// the time limit of the call, which is this much longer than the hold.
+constexpr Duration kSecondAttemptTime = std::chrono::milliseconds(400);
+// Round trips and backoff of three polls in a row, of which one is lost.
+constexpr Duration kPollReserve = std::chrono::milliseconds(500);
+constexpr int kPollsInARow = 3;
+constexpr Duration kMinPollWait = std::chrono::milliseconds(100);
 // A lease is renewed this many times within its lifetime.
 constexpr int kRenewalsPerSession = 3;
 
@@ -34,6 +43,14 @@
   return client;
 }
 
+[[nodiscard]] FleetDutyTimings TimingsFor(const Settings& settings,
+                                          FleetDutyTimings times) {
+  if (settings.revocation.strict) {
+    times.wait = PollWaitFor(*settings.revocation.strict, times);
+  }
+  return times;
+}
+
 // The string in a field, or an empty one when the field is missing or has
 // another type.
 [[nodiscard]] std::string StringField(const nlohmann::json& object,
@@ -57,6 +74,14 @@
 
 }  // namespace
 
+Duration PollWaitFor(Duration strict, const FleetDutyTimings& times) noexcept {
+  const Duration left = LongestConfirmationAge(strict) - times.answer -
+                        times.batch - kPollReserve;
+  return std::clamp(std::min<Duration>(left / kPollsInARow,
+                                       times.answer - kSecondAttemptTime),
+                    std::min(kMinPollWait, times.wait), times.wait);
+}
+
 FleetDuty::FleetDuty(boost::asio::io_context& io_context,
                      const Settings& settings, const StoreDialect& store,
                      const FleetDialect& dialect, Mailbox<Event>& decisions,
@@ -64,7 +89,7 @@
     : settings_(settings),
       dialect_(dialect),
       decisions_(decisions),
-      times_(times),
+      times_(TimingsFor(settings, times)),
       instances_prefix_(settings.store_prefix.substr(
                             settings.store_prefix.find_first_not_of('/')) +
                         "instances/"),
@@ -198,6 +223,7 @@
   // Answers to polls that started before this read are ignored.
   ++poll_number_;
   read_ = std::make_shared<FullRead>();
+  read_->started_at = MonotonicNow();
   ReadPrefix(read_, 0, "");
 }
 
@@ -260,6 +286,7 @@
   for (const auto& [key, entry] : read.entries) {
     PostEntry(entry);
   }
+  PostConfirmation(read.started_at);
   read_.reset();
   Poll();
 }
@@ -283,8 +310,9 @@
 
 void FleetDuty::Poll() {
   const std::uint64_t poll_number = ++poll_number_;
+  const TimePoint sent_at = MonotonicNow();
   store_->Poll({"", true, ""}, seen_revision_, times_.wait,
-               [this, poll_number](Result<StoreWatchUpdate>&& update) {
+               [this, poll_number, sent_at](Result<StoreWatchUpdate>&& update) {
                  if (poll_number != poll_number_) {
                    return;
                  }
@@ -293,11 +321,12 @@
                  if (!update) {
                    return RunAfter(times_.retry, &FleetDuty::Poll);
                  }
-                 HandlePollUpdate(update.value());
+                 HandlePollUpdate(update.value(), sent_at);
                });
 }
 
-void FleetDuty::HandlePollUpdate(const StoreWatchUpdate& update) {
+void FleetDuty::HandlePollUpdate(const StoreWatchUpdate& update,
+                                 TimePoint sent_at) {
   if (update.gap) {
     return ReadAll();
   }
@@ -309,12 +338,19 @@
     }
   }
   AdvanceSeenRevision(update.revision);
+  PostConfirmation(sent_at);
   if (update.changes.empty()) {
     return Poll();
   }
   RunAfter(times_.batch, &FleetDuty::Poll);
 }
 
+void FleetDuty::PostConfirmation(TimePoint as_of) {
+  if (settings_.revocation.strict && configuration_version_ != Revision{}) {
+    decisions_.Post(ConfigurationConfirmed{configuration_version_, as_of});
+  }
+}
+
 // Entries and their changes.
 
 void FleetDuty::PostEntry(const StoreEntry& entry) {
@@ -348,6 +384,7 @@
         {{"key", entry.key}, {"detail", catalogue.error().message}});
     return;
   }
+  configuration_version_ = catalogue.value().revision;
   decisions_.Post(CatalogueReceived{
       std::make_shared<const RouteCatalogue>(std::move(catalogue.value()))});
 }
--- a/src/settings/contradictions.cc
+++ b/src/settings/contradictions.cc
@@ -184,6 +184,26 @@
   }
 }
 
+void CheckRevocation(const Settings& settings, SettingsReport& report) {
+  // A shorter time would take more than ten polls of the store a second from
+  // each instance; see docs/design/011-accounts.md.
+  constexpr Duration kMinStrict = std::chrono::milliseconds(2500);
+  const auto& strict = settings.revocation.strict;
+  if (!strict) {
+    return;
+  }
+  if (*strict < kMinStrict) {
+    AddFault(report, "revocation.strict",
+             "'revocation.strict' is too short for the polls of the store",
+             "write a time of at least 2500ms");
+  }
+  if (settings.dialect != PlatformDialect::kFleet) {
+    AddFault(report, "revocation.strict",
+             "'revocation.strict' applies only to keys in the store",
+             "set platform.dialect to fleet or remove the section");
+  }
+}
+
 void CheckPeers(const Settings& settings, SettingsReport& report, Seen& seen) {
   Seen ids{{settings.instance.value(), "instance"}};
   for (std::size_t i = 0; i < settings.peers.size(); ++i) {
@@ -404,6 +424,7 @@
   CheckPlatform(settings, report, endpoints);
   CheckOwnDialect(settings, report);
   CheckRetries(settings.retries, report);
+  CheckRevocation(settings, report);
   CheckPeers(settings, report, endpoints);
   CheckUpstreams(settings, report, endpoints);
   CheckAccounts(settings, report);
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -228,6 +228,9 @@
     Read(*section, "ratio", settings.retries.ratio);
     Read(*section, "slack", settings.retries.slack);
   }
+  if (auto section = OpenSection(file, "revocation")) {
+    Read(*section, "strict", settings.revocation.strict);
+  }
   if (auto section = OpenSection(file, "engines")) {
     Read(*section, "prompt_tokens_per_ms",
          settings.engines.prompt_tokens_per_ms);
--- a/src/settings/settings_keys.cc
+++ b/src/settings/settings_keys.cc
@@ -145,6 +145,11 @@
      "what all instances together may spend at one service"},
     {"retries.ratio", "decimal number", "0.1", "for each first attempt"},
     {"retries.slack", "decimal number", "10", "beyond that, in any 10s"},
+    {"revocation", "section", "not strict",
+     "how soon revoked keys are refused"},
+    {"revocation.strict", "time", "not strict",
+     "at every instance, also without the store, a key is refused this long "
+     "after the store acknowledged its removal; at least 2500ms"},
     {"engines", "section", "the defaults below",
      "what is assumed of model engines until their answers show it"},
     {"engines.prompt_tokens_per_ms", "decimal number", "50",
--- a/tests/process/platform_fleet_test.cc
+++ b/tests/process/platform_fleet_test.cc
@@ -9,6 +9,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdlib>
@@ -21,6 +22,8 @@
 #include <utility>
 #include <vector>
 
+#include "tests/support/wait.h"
+
 namespace mimosagauge {
 namespace {
 
@@ -28,6 +31,7 @@
 using std::chrono::seconds;
 using testing::FleetCallers;
 using testing::FleetClock;
+using testing::FleetInstance;
 using testing::PlatformFleet;
 using testing::PlatformFleetOptions;
 using testing::RepeatWindow;
@@ -243,5 +247,71 @@
   }
 }
 
+enum class Outage { kStoreDown, kFrozenInstance, kInstanceWithoutStore };
+
+// Guards against: a revoked key that still runs in a real process, after the
+// bound, at an instance that the store does not reach or that was frozen; keys
+// that an instance refuses although others confirm its configuration; and keys
+// that stay refused afterwards.
+TEST_CASE("a revoked key ends within the bound in real processes", "[fleet]") {
+  PlatformFleetOptions options;
+  options.regions = 2;
+  options.instances = 4;
+  options.strict_revocation = milliseconds(3000);
+  PlatformFleet fleet(options);
+  const Outage outage = GENERATE(Outage::kStoreDown, Outage::kFrozenInstance,
+                                 Outage::kInstanceWithoutStore);
+  CAPTURE(static_cast<int>(outage));
+  FleetInstance& last = fleet.instances().back();
+  const auto all_answer = [&](const std::string& key, int status) {
+    return testing::WaitUntil([&] {
+      return std::all_of(fleet.instances().begin(), fleet.instances().end(),
+                         [&](const FleetInstance& instance) {
+                           return fleet.Ask(instance, key) == status;
+                         });
+    });
+  };
+  fleet.WriteConfiguration(
+      R"([{"name":"a","keys":["k-1","k-2"]},{"name":"b","keys":["k-3"]}])");
+  REQUIRE(all_answer("k-unknown", 401));
+  REQUIRE(all_answer("k-1", 200));
+  if (outage == Outage::kStoreDown) {
+    fleet.store().SetDown(true);
+  } else if (outage == Outage::kFrozenInstance) {
+    kill(last.process->pid(), SIGSTOP);
+  } else {
+    fleet.store_relay().Refuse(true);
+    fleet.store_relay().Cut();
+    for (int i = 0; i < 12; ++i) {
+      std::this_thread::sleep_for(milliseconds(500));
+      CHECK(fleet.Ask(last, "k-1") == 200);
+    }
+  }
+  fleet.WriteConfiguration(
+      R"([{"name":"a","keys":["k-2"]},{"name":"b","keys":["k-3"]}])");
+  std::this_thread::sleep_for(options.strict_revocation + milliseconds(50));
+  if (outage == Outage::kFrozenInstance) {
+    // Connected before the process goes on, so this is decided first.
+    std::thread thaw([&] {
+      std::this_thread::sleep_for(milliseconds(300));
+      kill(last.process->pid(), SIGCONT);
+    });
+    const int status = fleet.Ask(last, "k-1");
+    thaw.join();
+    CHECK((status == 401 || status == 503));
+  }
+  for (const FleetInstance& instance : fleet.instances()) {
+    const int status = fleet.Ask(instance, "k-1");
+    const bool unconfirmed =
+        outage == Outage::kStoreDown ||
+        (outage == Outage::kInstanceWithoutStore && &instance == &last);
+    CHECK(status == (unconfirmed ? 503 : 401));
+  }
+  fleet.store().SetDown(false);
+  fleet.store_relay().Refuse(false);
+  CHECK(all_answer("k-1", 401));
+  CHECK(all_answer("k-3", 200));
+}
+
 }  // namespace
 }  // namespace mimosagauge
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -66,6 +66,22 @@
   return pattern;
 }
 
+// The content of the template's section of this name.
+[[nodiscard]] std::string SectionOf(const std::string& text,
+                                    const std::string& name) {
+  const std::string begin = "{{#" + name + "}}";
+  const std::size_t start = text.find(begin) + begin.size();
+  return text.substr(start, text.find("{{/" + name + "}}") - start);
+}
+
+// Replaces the template's section of this name, with its marks.
+void ReplaceSection(std::string& text, const std::string& name,
+                    const std::string& content) {
+  const std::string end = "{{/" + name + "}}";
+  const std::size_t start = text.find("{{#" + name + "}}");
+  text.replace(start, text.find(end) + end.size() - start, content);
+}
+
 // An address of the loopback range that no other test process uses.
 [[nodiscard]] std::string OwnAddress() {
   const int pid = static_cast<int>(getpid());
@@ -227,17 +243,10 @@
       address_(OwnAddress()),
       next_port_(kFirstPort),
       command_(DeployCommand()) {
-  store_.Put(
-      "op/config",
-      fmt::format(R"({{"version":1,"routes":[{{"name":"r-read","host":"{}",)"
-                  R"("prefix":"/read/","kind":"idempotent","timeoutMs":2000,)"
-                  R"("sloMs":400,"priority":2,"service":"desk",)"
-                  R"("attempts":{}}}],"services":[{{"name":"desk",)"
-                  R"("healthPath":"/healthz","maxConns":400,"coldS":0,)"
-                  R"("coldPerS":0}}],"limits":{{"maxHeaderBytes":16384,)"
-                  R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
-                  R"("idleTimeoutMs":15000}}}})",
-                  kHost, options_.attempts));
+  WriteConfiguration("");
+  if (options_.strict_revocation > milliseconds(0)) {
+    store_relay_ = std::make_unique<Relay>(store_.endpoint());
+  }
   for (std::size_t region = 0; region < options_.regions; ++region) {
     for (std::size_t i = 0; i < options_.upstreams_per_region; ++i) {
       upstreams_.push_back(std::make_unique<FleetUpstream>(
@@ -262,6 +271,34 @@
   std::this_thread::sleep_for(seconds(2));
 }
 
+void PlatformFleet::WriteConfiguration(const std::string& accounts) {
+  const std::string member =
+      accounts.empty() ? "" : R"(,"tenants":)" + accounts;
+  store_.Put(
+      "op/config",
+      fmt::format(R"({{"version":{},"routes":[{{"name":"r-read","host":"{}",)"
+                  R"("prefix":"/read/","kind":"idempotent","timeoutMs":2000,)"
+                  R"("sloMs":400,"priority":2,"service":"desk",)"
+                  R"("attempts":{}}}],"services":[{{"name":"desk",)"
+                  R"("healthPath":"/healthz","maxConns":400,"coldS":0,)"
+                  R"("coldPerS":0}}],"limits":{{"maxHeaderBytes":16384,)"
+                  R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
+                  R"("idleTimeoutMs":15000}}{}}})",
+                  ++configuration_version_, kHost, options_.attempts, member));
+}
+
+int PlatformFleet::Ask(const FleetInstance& instance, const std::string& key) {
+  const std::string id = fmt::format("ask-{}", ++next_request_);
+  HttpRequest request;
+  request.target = "/read/" + id;
+  request.timeout = milliseconds(3000);
+  request.headers = {{"Host", kHost},
+                     {"X-Mimosagauge-Request-Id", id},
+                     {"X-Mimosagauge-Deadline-Ms", "3000"},
+                     {"Authorization", "Bearer " + key}};
+  return Fetch(instance.front, request).status;
+}
+
 std::string PlatformFleet::NextUpstreamId() {
   return fmt::format("i-desk-{}", ++next_upstream_);
 }
@@ -273,16 +310,21 @@
     zones += fmt::format("  - id: \"{}\"\n    region: \"{}\"\n",
                          ZoneName(region), RegionName(region));
   }
-  const std::string begin = "{{#zones}}";
-  const std::string end = "{{/zones}}";
-  const std::size_t section = text.find(begin);
-  text.replace(section, text.find(end) + end.size() - section, zones);
+  ReplaceSection(text, "zones", zones);
+  const auto strict = options_.strict_revocation;
+  ReplaceSection(
+      text, "bounds.strictRevoke",
+      strict == milliseconds(0) ? "" : SectionOf(text, "bounds.strictRevoke"));
   const auto next_endpoint = [this] {
     return Endpoint{address_, next_port_++};
   };
   instance.front = next_endpoint();
   instance.ready = next_endpoint();
   const std::string zone = instance.zone;
+  const bool relayed =
+      store_relay_ != nullptr && instances_.size() == options_.instances;
+  const Endpoint store =
+      relayed ? Endpoint{"127.0.0.1", store_relay_->port()} : store_.endpoint();
   const std::map<std::string, std::string> values{
       {"{{node}}", instance.name},
       {"{{region}}", zone.substr(0, zone.rfind('-'))},
@@ -292,8 +334,10 @@
       {"{{listen.directory}}", ToString(next_endpoint())},
       {"{{ip}}:{{portRange.0}}", ToString(next_endpoint())},
       {"{{ip}}:{{portRange.1}}", ToString(next_endpoint())},
-      {"{{platform.addr}}", ToString(store_.endpoint())},
+      {"{{platform.addr}}", ToString(store)},
       {"{{limits.memoryMb}}", "260"},
+      {"{{bounds.revokeMs}}",
+       std::to_string(options_.strict_revocation.count())},
       {"{{bounds.retryRatio}}", std::to_string(options_.retry_ratio)},
       {"{{bounds.retrySlack}}", std::to_string(options_.retry_slack)}};
   for (const auto& [name, value] : values) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -20,6 +20,7 @@
 #include "mimosagauge/impl/core/endpoint.h"
 #include "tests/support/platform_store.h"
 #include "tests/support/process.h"
+#include "tests/support/relay.h"
 #include "tests/support/standin_server.h"
 
 namespace mimosagauge::testing {
@@ -34,6 +35,9 @@
   std::size_t attempts = 2;              ///< Of the idempotent route.
   double retry_ratio = 0.2;
   double retry_slack = 52;
+  /// Time within which revoked keys are refused; zero: not strict, and no
+  /// accounts.
+  std::chrono::milliseconds strict_revocation{0};
 };
 
 /// \brief A request that a caller sent, or that reached an upstream.
@@ -152,6 +156,14 @@
   /// of the old one remains until `RemoveEntry`.
   void Replace(std::size_t upstream);
   void RemoveEntry(const std::string& upstream_id);
+  /// \brief Writes the operators' configuration.
+  /// \param accounts The member `tenants`, as JSON; empty: none.
+  void WriteConfiguration(const std::string& accounts);
+  /// \returns What the last instance's calls to the store pass through, under
+  /// strict revocation.
+  [[nodiscard]] Relay& store_relay() { return *store_relay_; }
+  /// \returns The status of an idempotent request with the key, sent now.
+  [[nodiscard]] int Ask(const FleetInstance& instance, const std::string& key);
   /// \returns What all instances have printed.
   [[nodiscard]] std::string Outputs() const;
 
@@ -166,8 +178,11 @@
   std::vector<std::string> command_;
   FleetJournal journal_;
   PlatformStore store_;
+  std::unique_ptr<Relay> store_relay_;
   std::vector<std::unique_ptr<FleetUpstream>> upstreams_;
   std::size_t next_upstream_ = 0;
+  std::uint64_t configuration_version_ = 0;
+  std::uint64_t next_request_ = 0;
   std::vector<FleetInstance> instances_;
 };
 
--- a/tests/unit/fleet_duty_test.cc
+++ b/tests/unit/fleet_duty_test.cc
@@ -30,8 +30,9 @@
 // The duty on a thread of its own, and what it has posted.
 class RunningFleetDuty {
  public:
-  explicit RunningFleetDuty(PlatformStore& store)
-      : settings_(MakeSettings(store)),
+  explicit RunningFleetDuty(PlatformStore& store,
+                            std::optional<Duration> strict = {})
+      : settings_(MakeSettings(store, strict)),
         work_(boost::asio::make_work_guard(io_context_)),
         mailbox_(io_context_, io_context_, kMailboxCapacity),
         duty_(io_context_, settings_, platform::Store(), platform::Fleet(),
@@ -66,12 +67,19 @@
     const std::lock_guard lock(mutex_);
     return removals_;
   }
+  /// \returns The number of times that the configuration was confirmed.
+  [[nodiscard]] std::size_t confirmations() {
+    const std::lock_guard lock(mutex_);
+    return confirmations_;
+  }
 
  private:
   static constexpr std::size_t kMailboxCapacity = 64;
 
-  [[nodiscard]] static Settings MakeSettings(const PlatformStore& store) {
+  [[nodiscard]] static Settings MakeSettings(const PlatformStore& store,
+                                             std::optional<Duration> strict) {
     Settings settings;
+    settings.revocation.strict = strict;
     settings.instance = InstanceId{"front-1"};
     settings.region = RegionId{"nairobi"};
     settings.zone = ZoneId{"nairobi-a"};
@@ -93,6 +101,8 @@
       known_.insert("servers/" + updated->record.config.id.value());
     } else if (const auto* removed = std::get_if<UpstreamRemoved>(&event)) {
       Forget("servers/" + removed->id.value());
+    } else if (std::holds_alternative<ConfigurationConfirmed>(event)) {
+      ++confirmations_;
     } else if (const auto* evacuated = std::get_if<ZoneEvacuated>(&event)) {
       const std::string key = "op/evacuate/" + evacuated->zone.value();
       if (evacuated->on) {
@@ -117,6 +127,7 @@
   std::mutex mutex_;
   std::set<std::string> known_;
   std::size_t removals_ = 0;
+  std::size_t confirmations_ = 0;
   std::thread thread_;
 };
 
@@ -177,6 +188,30 @@
   CHECK(WaitUntil([&] { return duty.Known().size() == 1; }));
 }
 
+// Guards against: polls that are held so long that keys are refused, and more
+// calls of the store than before where revocation is not strict.
+TEST_CASE("answered calls confirm the configuration where that is strict") {
+  const bool strict = GENERATE(true, false);
+  PlatformStore store;
+  store.Put("op/config", R"({"version":1})");
+  RunningFleetDuty duty(
+      store,
+      strict ? std::optional<Duration>(std::chrono::seconds(5)) : std::nullopt);
+  REQUIRE(WaitUntil([&] { return store.CallCount("kv-watch") >= 2; }));
+  const std::uint64_t polls = store.CallCount("kv-watch");
+  std::this_thread::sleep_for(milliseconds(2500));
+  const std::uint64_t later = store.CallCount("kv-watch");
+  CHECK((later >= polls + 3) == strict);
+  CHECK((duty.confirmations() >= 4) == strict);
+  CHECK((duty.confirmations() == 0) == !strict);
+  // None without an answer.
+  store.SetDown(true);
+  REQUIRE(WaitUntil([&] { return store.CallCount("kv-watch") > later + 1; }));
+  const std::size_t confirmed = duty.confirmations();
+  std::this_thread::sleep_for(milliseconds(1000));
+  CHECK(duty.confirmations() == confirmed);
+}
+
 // The store's watches may all go silent while changes are made; then no other
 // instance knows better. An instance is held to its bounds again 5 s after such
 // a disruption, which itself takes a second.
