Test: late answers arrive at an instance with an old configuration

The case of late answers released them only with the end of the failure, so it also passed where the age of an answer counts from its receipt. Now it fails there; it passes on the code as it is (6,100 assertions).

--- a/tests/unit/strict_revocation_test.cc
+++ b/tests/unit/strict_revocation_test.cc
@@ -75,6 +75,7 @@
   world.Run(seconds(3));
   REQUIRE(world.Ask(0) == 0);
   Apply(failure, true, world);
+  world.Run(seconds(3));
   if (revoked) {
     world.Write(false);
   }
@@ -88,6 +89,12 @@
   }
   CHECK(world.Ask(0, "k-steady") ==
         (revoked ? failure.steady_revoked : failure.steady));
+  // Answers to early questions arrive late.
+  for (std::size_t i = 1; i < kInstances; ++i) {
+    world.CutLink(i, 0, false);
+  }
+  world.Run(milliseconds(100));
+  CHECK((world.Ask(0) != 0 || world.MayRun(Duration::zero())));
   Apply(failure, false, world);
   world.Run(kRecovery);
   CHECK(world.Ask(0, "k-steady") == 0);
