Accounts: a stream goes on when its account is removed

A stream is resumed only in the region that has served it, so its homes are not in doubt, and it was accepted before its account was removed. Refusing it cut off an answer that had begun. A request that an upstream refused before its account was removed is no longer answered account-gone over a link, which tells the other instance that no upstream was reached.

--- a/src/decisions/gateway_accounts.cc
+++ b/src/decisions/gateway_accounts.cc
@@ -145,11 +145,19 @@
   }
   const RequestHead& head = *record.arrival.head;
   // The home regions of an account that was removed while its request waited
-  // are not known any more.
-  if (!head.account.empty() &&
-      FindAccount(gateway.catalogue->accounts, head.account) == nullptr) {
+  // are not known any more. A stream is resumed only in this region, where it
+  // has been served already.
+  const bool account_gone =
+      !head.account.empty() && !record.resuming &&
+      FindAccount(gateway.catalogue->accounts, head.account) == nullptr;
+  if (account_gone) {
     CountRefusal(gateway, AuthenticationResult::kAccountGone);
-    RefuseOrAbort(context, record, AccountGone(record.outcome.run));
+    const RunState run = record.outcome.run;
+    // `account-gone` tells another instance that no upstream was reached.
+    RefuseOrAbort(context, record,
+                  record.attempts == 0
+                      ? AccountGone(run)
+                      : AttemptsFailed("the account was removed", run));
     return true;
   }
   if (record.verdict.regions && record.verdict.regions->empty()) {
