--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -116,6 +116,9 @@
   GatewayLimits limits;
   Bytes memory{};  ///< Of this process; zero: not known.
   PlacementSettings placement{};
+  /// Time after which a key that the operators removed must be refused, also
+  /// where the store cannot be reached; empty: strict revocation is off.
+  std::optional<Duration> strict_revocation;
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -146,6 +146,13 @@
   PlacementMessage message;
 };
 
+/// \brief Sends another instance a question for the newest configuration, or
+/// the answer to its question. The message may be lost.
+struct SendConfirmation {
+  InstanceId to;
+  ConfirmationMessage message;
+};
+
 /// \brief Publishes a view of this instance, which replaces the previous one.
 struct PublishView {
   InstanceViewPtr view;  ///< Never null.
@@ -170,7 +177,8 @@
     std::variant<StartLinkAttempt, CancelAttempt, AddAttemptCredit,
                  SendAnswerHead, SendAnswerBody, SendAnswerEnd, AbortAnswer,
                  SendProblem, SendGossip, SendLoad, ConnectInstance,
-                 DisconnectInstance, SendTraffic, SendPlacement>;
+                 DisconnectInstance, SendTraffic, SendPlacement,
+                 SendConfirmation>;
 
 /// \brief An effect for one duty; the wrapper's type names the duty.
 struct ForUpstreams {
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -12,6 +12,7 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/accounts/confirmation.h"
 #include "mimosagauge/impl/decisions/coordination/messages.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
@@ -164,6 +165,20 @@
   PlacementMessage message;
 };
 
+/// \brief The store's newest configuration was known at a time. Posted only
+/// under strict revocation, after the configuration itself.
+struct ConfigurationConfirmed {
+  Revision version;
+  TimePoint as_of;  ///< When the answered call to the store was sent.
+};
+
+/// \brief A question for the newest configuration, or the answer to one, was
+/// received from another instance.
+struct ConfirmationReceived {
+  InstanceId from;
+  ConfirmationMessage message;
+};
+
 /// \brief A call to the store about claims of keys was answered or failed.
 struct ClaimStoreAnswered {
   StoreEvent answer;
@@ -181,7 +196,8 @@
     CatalogueReceived, UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
     InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
     LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick,
-    TrafficReceived, PlacementReceived>;
+    TrafficReceived, PlacementReceived, ConfigurationConfirmed,
+    ConfirmationReceived>;
 
 }  // namespace mimosagauge
 
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -276,7 +276,8 @@
   if (record.verdict.service.empty()) {
     return RefuseOrAbort(context, record, NoService(*record.arrival.head));
   }
-  if (RefuseIfPoison(context, record)) {
+  if (RefuseIfAccountForbids(context, record) ||
+      RefuseIfPoison(context, record)) {
     return;
   }
   if (const PeerConfig* planned = ChoosePlannedPeer(context, record)) {
--- a/src/duties/links/gossip.cc
+++ b/src/duties/links/gossip.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/wire/confirmation_codec.h"
 #include "mimosagauge/impl/wire/load_codec.h"
 #include "mimosagauge/impl/wire/placement_codec.h"
 #include "mimosagauge/impl/wire/traffic_codec.h"
@@ -34,6 +35,9 @@
     case kPlacementTag:
       return PostDecoded<PlacementReceived>(decisions, from,
                                             DecodePlacementMessage(data));
+    case kConfirmationTag:
+      return PostDecoded<ConfirmationReceived>(decisions, from,
+                                               DecodeConfirmation(data));
     case kTrafficTag:
       return PostDecoded<TrafficReceived>(decisions, from,
                                           DecodeTrafficMessage(data));
