Settings: section allowances

Cause: allowances are enforced only where a deployment asks for it. Change: window, excess, slack and reserve, checked; without the section no allowance is enforced.

--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -13,6 +13,7 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/time.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/allowance/bucket.h"
 #include "mimosagauge/impl/decisions/engine_load.h"
 #include "mimosagauge/impl/decisions/once/fingerprint.h"
 #include "mimosagauge/impl/decisions/once/key_owner.h"
@@ -94,6 +95,7 @@
                       ///< accepted.
   EngineSpeeds speeds;
   GatewayLimits limits;
+  AllowanceSettings allowances;
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -99,6 +99,14 @@
   double slack = 10;   ///< Beyond that, in any window.
 };
 
+/// \brief How the allowances of accounts are enforced over all instances.
+struct AllowanceSectionSettings {
+  Duration window = AllowanceSettings{}.window;  ///< At least 1 s.
+  double excess = AllowanceSettings{}.excess;    ///< Above 1.
+  double slack = AllowanceSettings{}.slack;      ///< Tokens; at least 0.
+  double reserve = AllowanceSettings{}.reserve;  ///< From 0 to below 1.
+};
+
 /// \brief What is assumed of upstreams until their answers show it.
 struct EngineSettings {
   double prompt_tokens_per_ms = EngineSpeeds{}.prompt_tokens_per_ms;
@@ -150,6 +158,8 @@
   bool one_thread = false;   ///< All duties share one event loop.
   bool plain_links = false;  ///< Links need no TLS: the network is trusted.
   RetrySettings retries;
+  /// Empty: allowances are not enforced.
+  std::optional<AllowanceSectionSettings> allowances;
   EngineSettings engines;
   std::string operator_token;
   /// Shared by all instances; signs the tickets of idempotency keys. Empty: no
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -384,6 +384,15 @@
   if (settings.dialect == PlatformDialect::kFleet) {
     config.limits.placement_spread = kPlacementSpread;
   }
+  if (settings.allowances) {
+    config.allowances.enforced = true;
+    config.allowances.window = settings.allowances->window;
+    config.allowances.excess = settings.allowances->excess;
+    config.allowances.slack = settings.allowances->slack;
+    config.allowances.reserve = settings.allowances->reserve;
+    config.allowances.regions = settings.regions.size();
+    config.allowances.session = settings.session;
+  }
   config.speeds.prompt_tokens_per_ms = settings.engines.prompt_tokens_per_ms;
   config.speeds.first_token = settings.engines.first_token;
   return config;
--- a/src/settings/contradictions.cc
+++ b/src/settings/contradictions.cc
@@ -184,6 +184,37 @@
   }
 }
 
+void CheckAllowances(const Settings& settings, SettingsReport& report) {
+  if (!settings.allowances) {
+    return;
+  }
+  const AllowanceSectionSettings& allowances = *settings.allowances;
+  const auto fault = [&report](const char* key, const char* what,
+                               const char* remedy) {
+    const std::string path = fmt::format("allowances.{}", key);
+    AddFault(report, path, fmt::format("'{}' {}", path, what), remedy);
+  };
+  if (allowances.window < std::chrono::seconds(1)) {
+    fault("window", "is shorter than a lent amount needs", "write 1s or more");
+  }
+  if (allowances.excess <= 1) {
+    fault("excess", "leaves no room for amounts that are lent",
+          "write more than 1, as in 1.1");
+  }
+  if (allowances.slack < 0) {
+    fault("slack", "is below zero", "write 0 or more");
+  }
+  if (allowances.reserve < 0 || allowances.reserve >= 1) {
+    fault("reserve", "is no part of an allowance",
+          "write a number from 0 to below 1");
+  }
+  if (settings.dialect != PlatformDialect::kFleet) {
+    AddFault(report, "allowances",
+             "allowances need accounts from the store's configuration",
+             "write platform.dialect: fleet, or remove allowances");
+  }
+}
+
 void CheckPeers(const Settings& settings, SettingsReport& report, Seen& seen) {
   Seen ids{{settings.instance.value(), "instance"}};
   for (std::size_t i = 0; i < settings.peers.size(); ++i) {
@@ -404,6 +435,7 @@
   CheckPlatform(settings, report, endpoints);
   CheckOwnDialect(settings, report);
   CheckRetries(settings.retries, report);
+  CheckAllowances(settings, report);
   CheckPeers(settings, report, endpoints);
   CheckUpstreams(settings, report, endpoints);
   CheckAccounts(settings, report);
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -228,6 +228,13 @@
     Read(*section, "ratio", settings.retries.ratio);
     Read(*section, "slack", settings.retries.slack);
   }
+  if (auto section = OpenSection(file, "allowances")) {
+    AllowanceSectionSettings& allowances = settings.allowances.emplace();
+    Read(*section, "window", allowances.window);
+    Read(*section, "excess", allowances.excess);
+    Read(*section, "slack", allowances.slack);
+    Read(*section, "reserve", allowances.reserve);
+  }
   if (auto section = OpenSection(file, "engines")) {
     Read(*section, "prompt_tokens_per_ms",
          settings.engines.prompt_tokens_per_ms);
