Gateway: requests are held and charged under their account's allowance

Cause: the state machines of allowances need events, links and registrations. A request that is refused this way does not count for the retry budget. Messages travel over a link in either direction, and lenders of other regions get links over which no requests are forwarded. The fleet duty posts the creation revisions of all registrations, the lease of this instance's entry and until when its own lease is valid; an entry of an earlier process is replaced after one session.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -121,6 +121,15 @@
 inline constexpr LogEvent kZoneEvacuated{
     8204, LogLevel::kInfo, "an availability zone was evacuated or opened again",
     ""};
+inline constexpr LogEvent kLendingBegan{
+    8311, LogLevel::kInfo,
+    "this instance lends from the accounts' allowances in its region", ""};
+inline constexpr LogEvent kLendingEnded{
+    8312, LogLevel::kInfo, "this instance no longer lends from allowances", ""};
+inline constexpr LogEvent kLenderMissing{
+    8313, LogLevel::kWarning,
+    "no lender of allowances answers; requests beyond the reserve are refused",
+    "check the key-value service and the links to the instances that lend"};
 inline constexpr LogEvent kInstanceLearned{
     7001, LogLevel::kInfo, "another instance appeared or changed its address",
     ""};
--- a/include/mimosagauge/impl/decisions/allowance/allowances.h
+++ b/include/mimosagauge/impl/decisions/allowance/allowances.h
@@ -35,7 +35,7 @@
 
 /// \brief What a call led to.
 struct AllowanceOutput {
-  /// Messages to other instances; one for each at most.
+  /// Messages to other instances, each of at most `kMaxAllowanceEntries`.
   std::vector<std::pair<InstanceId, AllowanceMessage>> messages;
   /// Decisions about requests that were held.
   std::vector<AllowanceDecision> decisions;
@@ -56,11 +56,10 @@
 /// \brief Replaces the known registrations.
 void SetRegistrations(Allowances& state, RegistrationTable table);
 
-/// \returns Lenders of other regions to which a link is needed now: for a
-/// lender all of them, for others those to be asked while the own region has no
-/// lender that answers.
-[[nodiscard]] std::vector<InstanceId> NeededLinks(const Allowances& state,
-                                                  TimePoint now);
+/// \returns Lenders of other regions, to which a link is needed so that they
+/// can be asked as soon as the own one does not answer.
+[[nodiscard]] const std::vector<InstanceId>& NeededLinks(
+    const Allowances& state);
 
 /// \returns Whether the account has an allowance.
 [[nodiscard]] bool HasAllowance(const Allowances& state, AccountHash account);
@@ -70,13 +69,6 @@
                                       double units, RequestNumber number,
                                       TimePoint now, AllowanceOutput& output);
 
-/// \brief Charges a further attempt of an admitted request; see
-/// `ChargeFurtherAttempt`.
-[[nodiscard]] std::optional<AllowanceCharge> ChargeAttempt(Allowances& state,
-                                                           AccountHash account,
-                                                           double units,
-                                                           TimePoint now);
-
 /// \brief Returns the charge of a request that certainly did not run.
 void ReturnCharge(Allowances& state, const AllowanceCharge& charge,
                   TimePoint now);
@@ -87,7 +79,7 @@
                    AllowanceOutput& output);
 
 /// \brief Does what is due at `now`; to be called every few milliseconds.
-void Tick(Allowances& state, TimePoint now, AllowanceOutput& output);
+void DoDueWork(Allowances& state, TimePoint now, AllowanceOutput& output);
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/allowance/borrower.h
+++ b/include/mimosagauge/impl/decisions/allowance/borrower.h
@@ -135,13 +135,6 @@
                                              RequestNumber number,
                                              BorrowerOutput& output);
 
-/// \brief Charges a further attempt of a request that has been admitted.
-/// \returns The charge; empty: there is no balance, and the attempt may not be
-/// made. An account without an allowance is charged nothing.
-[[nodiscard]] std::optional<AllowanceCharge> ChargeFurtherAttempt(
-    Borrower& borrower, const BorrowerContext& context, AccountHash account,
-    double units);
-
 /// \brief Returns the charge of a request that certainly did not run.
 void Refund(Borrower& borrower, const BorrowerContext& context,
             const AllowanceCharge& charge);
--- a/include/mimosagauge/impl/decisions/allowance/messages.h
+++ b/include/mimosagauge/impl/decisions/allowance/messages.h
@@ -59,8 +59,8 @@
   double spare = 0;
 };
 
-/// Largest number of entries of each kind in one message; further ones are sent
-/// in another message.
+/// Largest number of entries in one message; further ones are sent in another
+/// message.
 inline constexpr std::size_t kMaxAllowanceEntries = 256;
 
 /// \brief Requests and grants for one instance.
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -132,6 +132,13 @@
   std::shared_ptr<const LoadDigest> digest;  ///< Never null.
 };
 
+/// \brief Sends a message about allowances to another instance, over a link in
+/// either direction. The message may be lost.
+struct SendAllowance {
+  InstanceId to;
+  std::shared_ptr<const AllowanceMessage> message;  ///< Never null.
+};
+
 /// \brief Publishes a view of this instance, which replaces the previous one.
 struct PublishView {
   InstanceViewPtr view;  ///< Never null.
@@ -156,7 +163,7 @@
     std::variant<StartLinkAttempt, CancelAttempt, AddAttemptCredit,
                  SendAnswerHead, SendAnswerBody, SendAnswerEnd, AbortAnswer,
                  SendProblem, SendGossip, SendLoad, ConnectInstance,
-                 DisconnectInstance>;
+                 DisconnectInstance, SendAllowance>;
 
 /// \brief An effect for one duty; the wrapper's type names the duty.
 struct ForUpstreams {
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -12,6 +12,8 @@
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/allowance/messages.h"
+#include "mimosagauge/impl/decisions/allowance/seniority.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/request.h"
@@ -149,6 +151,23 @@
   LoadDigest digest;
 };
 
+/// \brief The registrations of instances in the store, after they changed.
+struct RegistrationsReceived {
+  RegistrationTable table;
+};
+
+/// \brief The lease of this instance's registration was granted or renewed.
+struct LeaseRenewed {
+  std::uint64_t lease = 0;
+  TimePoint end{};  ///< Counted from when the renewal was sent.
+};
+
+/// \brief A message of another instance about allowances was received.
+struct AllowanceReceived {
+  InstanceId from;
+  AllowanceMessage message;
+};
+
 /// \brief A call to the store about claims of keys was answered or failed.
 struct ClaimStoreAnswered {
   StoreEvent answer;
@@ -165,7 +184,8 @@
     AttemptBodyReceived, AttemptEnded, AttemptFailed, RulesReceived,
     CatalogueReceived, UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
     InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
-    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick>;
+    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick,
+    RegistrationsReceived, LeaseRenewed, AllowanceReceived>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "mimosagauge/impl/decisions/allowance/allowances.h"
 #include "mimosagauge/impl/decisions/config.h"
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
@@ -88,6 +89,9 @@
   bool completed = false;           ///< The answer was received completely.
   bool detached = false;     ///< The sender disconnected; the run continues.
   std::string last_failure;  ///< Error message of the last failed attempt.
+  /// Units of the account's allowance charged for its run; empty: none.
+  std::optional<AllowanceCharge> charge;
+  bool awaits_allowance = false;  ///< It is held until it is charged.
 };
 
 /// \brief State of another instance, as seen by this one.
@@ -98,6 +102,9 @@
   std::optional<TimePoint> leaving_since;
   bool listed = true;  ///< It is registered, or listed in the settings.
   bool link_requested = false;  ///< A link to it has been requested.
+  /// The link was requested for messages about allowances, and no requests are
+  /// forwarded over it: all instances have such links to the same few others.
+  bool only_for_allowances = false;
 };
 
 /// \brief The capacity that another region offers, by service.
@@ -164,6 +171,9 @@
   bool refusing_requests = false;  ///< The leave notice is over, and new
                                    ///< requests are refused.
   bool finished = false;  ///< The effect that ends the drain was emitted.
+  Allowances allowances;
+  /// When the lack of a lender was last logged.
+  TimePoint lender_missing_logged{};
   GatewayMetrics metrics;
   /// When a view was last published; zero: the next one is published at once.
   TimePoint last_view_at{};
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -83,6 +83,36 @@
 /// waiting queue, or refuses it if none of them is possible.
 void PlaceRequest(StepContext& context, RequestNumber number);
 
+/// \brief Charges a request from a caller to its account's allowance, and
+/// serves, holds or refuses it.
+void ServeUnderAllowance(StepContext& context, RequestNumber number);
+
+/// \brief Places a request again of which an attempt has failed. If that
+/// attempt may have run, the request is charged again first, and fails if its
+/// account is beyond its allowance. \param run The run state of the attempt
+/// that failed.
+void PlaceFurtherRun(StepContext& context, RequestRecord& record, RunState run);
+
+/// \brief Returns the charge of a request that ends without having run, and
+/// no longer holds it.
+void ReleaseAllowance(StepContext& context, RequestRecord& record);
+
+/// \brief Adopts the accounts of the configuration in force.
+void AdoptAllowances(StepContext& context);
+
+/// \brief Records whether an instance can be sent messages.
+void SetAllowanceLink(StepContext& context, const InstanceId& instance,
+                      bool up);
+
+/// \brief Does the periodic work of allowances, and requests the links to
+/// lenders that are needed.
+void TickAllowances(StepContext& context);
+
+/// \returns The metrics of allowances in the Prometheus text format; empty if
+/// none are enforced.
+[[nodiscard]] std::string AllowanceMetricsText(const Gateway& gateway,
+                                               TimePoint now);
+
 /// \brief Determines which instance may run a keyed request, and runs,
 /// forwards, holds, replays or refuses it accordingly.
 void AdmitKeyed(StepContext& context, RequestNumber number);
@@ -269,6 +299,9 @@
 void Handle(StepContext& context, GossipReceived&& event);
 void Handle(StepContext& context, ClaimStoreAnswered&& event);
 void Handle(StepContext& context, DrainRequested&& event);
+void Handle(StepContext& context, RegistrationsReceived&& event);
+void Handle(StepContext& context, LeaseRenewed&& event);
+void Handle(StepContext& context, AllowanceReceived&& event);
 void Handle(StepContext& context, Tick&& event);
 void Handle(StepContext& context, AttemptHeadReceived&& event);
 void Handle(StepContext& context, AttemptBodyReceived&& event);
--- a/include/mimosagauge/impl/decisions/problems.h
+++ b/include/mimosagauge/impl/decisions/problems.h
@@ -47,6 +47,12 @@
 /// The instance is shutting down.
 [[nodiscard]] Problem Stopping(RunState run);
 
+/// The request's account is beyond its allowance.
+/// \param retry_after The time until the request would be admitted.
+[[nodiscard]] Problem AllowanceExceeded(Duration retry_after);
+/// It cannot be found out whether the account is beyond its allowance.
+[[nodiscard]] Problem AllowanceNotKnown(Duration retry_after);
+
 /// Requests with the same content have crashed upstreams. The status is 503 if
 /// this request was not run, else 502.
 /// \param remaining The time until requests with it are accepted again.
--- a/include/mimosagauge/impl/duties/links/client.h
+++ b/include/mimosagauge/impl/duties/links/client.h
@@ -74,6 +74,10 @@
   /// counts it in `dropped_gossip`.
   void Handle(SendGossip&& gossip);
 
+  /// \brief Sends control state if the link is up.
+  /// \returns Whether it was sent. An idle link is dialed otherwise.
+  [[nodiscard]] bool TrySendGossip(const InstanceId& to, std::string bytes);
+
   /// \brief Encodes a load digest and sends it like gossip.
   void Handle(SendLoad&& load);
 
--- a/include/mimosagauge/impl/duties/links/duty.h
+++ b/include/mimosagauge/impl/duties/links/duty.h
@@ -61,6 +61,8 @@
  private:
   [[nodiscard]] Result<LinkTlsContextPtr> MakeTlsContext() const;
 
+  void Send(SendAllowance&& message);
+
   const Settings& settings_;
   LinkTimings timings_;
   LinkClient client_;
--- a/include/mimosagauge/impl/duties/links/gossip.h
+++ b/include/mimosagauge/impl/duties/links/gossip.h
@@ -10,8 +10,8 @@
 
 namespace mimosagauge {
 
-/// \brief Posts received control state as an event. A load digest is decoded
-/// first; an invalid one is logged and dropped.
+/// \brief Posts received control state as an event. Load digests and messages
+/// about allowances are decoded first; an invalid one is logged and dropped.
 void PostGossip(Mailbox<Event>& decisions, const InstanceId& from,
                 std::string data);
 
--- a/include/mimosagauge/impl/duties/links/queue.h
+++ b/include/mimosagauge/impl/duties/links/queue.h
@@ -14,6 +14,9 @@
 
 namespace mimosagauge {
 
+/// A link with more queued bytes than this accepts no more requests or gossip.
+inline constexpr Bytes kMaxQueuedBytes = Kibibytes(32UL * 1024);
+
 /// \brief Queues the frames to be sent on one link and decides their order.
 ///
 /// Frames of one stream keep their order. Control frames are sent first. Then
--- a/include/mimosagauge/impl/duties/links/server.h
+++ b/include/mimosagauge/impl/duties/links/server.h
@@ -66,6 +66,10 @@
   void Handle(AbortAnswer&& abort);
   void Handle(SendProblem&& answer);
 
+  /// \brief Sends control state to an instance over the connection that it has
+  /// opened. The message is dropped if there is none, or if it is too busy.
+  void SendGossip(const InstanceId& to, std::string bytes);
+
   [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
   [[nodiscard]] const LinkServerCounters& counters() const noexcept {
     return counters_;
--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -86,6 +86,9 @@
   void ScheduleRenewal(Duration delay, bool register_again);
   void RenewLease();
   void RevokeRegistration();
+  void AddReplacementTimer();
+  void ReplaceRegistration();
+  void RecordLease(LeaseId lease, TimePoint sent, Duration lifetime);
   [[nodiscard]] std::string RegistrationKey() const;
   [[nodiscard]] std::string RegistrationValue() const;
 
@@ -109,6 +112,8 @@
   void RemoveOrDefer(const std::string& key);
   void RemoveEntry(const std::string& key);
   void RemoveExpiredMissing();
+  void UpdateRegistration(const std::string& key, const StoreEntry* entry);
+  void PostRegistrations();
   [[nodiscard]] bool IsInOwnRegion(const ZoneId& zone) const;
   void RecordCallResult(bool answered, const std::string& detail);
 
@@ -123,8 +128,15 @@
   boost::asio::steady_timer watch_timer_;
   boost::asio::steady_timer renewal_timer_;
   boost::asio::steady_timer missing_timer_;
+  boost::asio::steady_timer replacement_timer_;
   // Lease of the registration; zero: not registered.
   LeaseId lease_;
+  // The registrations of all instances by key, as the store has them; only
+  // maintained where allowances are enforced.
+  std::unordered_map<std::string, Registration> registrations_;
+  // Lease of this instance's entry in the store; zero: there is none.
+  LeaseId own_entry_lease_;
+  bool registrations_changed_ = false;  // Since they were last posted.
   // `Leave` was called, so this instance does not register again.
   bool leaving_ = false;
   // Number of the newest poll; answers to earlier polls are ignored.
--- a/src/decisions/allowance/allowances.cc
+++ b/src/decisions/allowance/allowances.cc
@@ -96,17 +96,17 @@
         if (to == state_.self) {
           HandleRequestFrom(to, request);
         } else {
-          messages_[to].requests.push_back(request);
+          MessageTo(to).requests.push_back(request);
         }
       }
       for (const auto& [to, request] : transfers) {
-        messages_[to].requests.push_back(request);
+        MessageTo(to).requests.push_back(request);
       }
       for (const auto& [to, grant] : grants) {
         if (to == state_.self) {
           HandleGrantFrom(to, grant);
         } else {
-          messages_[to].grants.push_back(grant);
+          MessageTo(to).grants.push_back(grant);
         }
       }
     }
@@ -118,6 +118,16 @@
   }
 
  private:
+  // Returns the message to an instance that has room for one more entry.
+  [[nodiscard]] AllowanceMessage& MessageTo(const InstanceId& to) {
+    AllowanceMessage& message = messages_[to];
+    if (message.requests.size() + message.grants.size() >=
+        kMaxAllowanceEntries) {
+      output_.messages.emplace_back(to, std::exchange(message, {}));
+    }
+    return message;
+  }
+
   Allowances& state_;
   TimePoint now_;
   AllowanceOutput& output_;
@@ -181,17 +191,9 @@
   std::erase(state.lender.other_lenders, state.own_lender);
 }
 
-std::vector<InstanceId> NeededLinks(const Allowances& state, TimePoint now) {
-  const InstanceId& own = state.own_lender;
-  const auto silent = state.borrower.silent.find(own);
-  const bool own_answers =
-      (own == state.self ? state.tenure.since.has_value()
-                         : state.reachable.contains(own)) &&
-      (silent == state.borrower.silent.end() || silent->second <= now);
-  if (state.book.limits.empty() || (own_answers && own != state.self)) {
-    return {};
-  }
-  return state.lender.other_lenders;
+const std::vector<InstanceId>& NeededLinks(const Allowances& state) {
+  static const std::vector<InstanceId> kNone;
+  return state.book.limits.empty() ? kNone : state.lender.other_lenders;
 }
 
 bool HasAllowance(const Allowances& state, AccountHash account) {
@@ -220,14 +222,6 @@
   return decision;
 }
 
-std::optional<AllowanceCharge> ChargeAttempt(Allowances& state,
-                                             AccountHash account, double units,
-                                             TimePoint now) {
-  const std::vector<InstanceId> lenders;
-  const BorrowerContext context{state.book, lenders, {}, now};
-  return ChargeFurtherAttempt(state.borrower, context, account, units);
-}
-
 void ReturnCharge(Allowances& state, const AllowanceCharge& charge,
                   TimePoint now) {
   const std::vector<InstanceId> lenders;
@@ -248,7 +242,7 @@
   exchange.Finish();
 }
 
-void Tick(Allowances& state, TimePoint now, AllowanceOutput& output) {
+void DoDueWork(Allowances& state, TimePoint now, AllowanceOutput& output) {
   Exchange exchange(state, now, output);
   exchange.TickBoth();
   exchange.Finish();
--- a/src/decisions/allowance/borrower.cc
+++ b/src/decisions/allowance/borrower.cc
@@ -310,19 +310,6 @@
   return {number, AllowanceVerdict::kWaiting, std::nullopt, {}};
 }
 
-std::optional<AllowanceCharge> ChargeFurtherAttempt(
-    Borrower& borrower, const BorrowerContext& context, AccountHash account,
-    double units) {
-  const auto limit = context.book.limits.find(account);
-  if (limit == context.book.limits.end()) {
-    return AllowanceCharge{account, 0, context.now};
-  }
-  BorrowerAccount& state = AccountOf(borrower, context, account, limit->second);
-  auto charge = TakeFromBalance(state, account, units, context.now);
-  return charge ? charge
-                : TakeFromReserve(borrower, state, account, units, context.now);
-}
-
 void Refund(Borrower& borrower, const BorrowerContext& context,
             const AllowanceCharge& charge) {
   const auto found = borrower.accounts.find(charge.account);
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -9,6 +9,7 @@
 
 #include "mimosagauge/impl/decisions/gateway_detail.h"
 #include "mimosagauge/impl/decisions/problems.h"
+#include "mimosagauge/impl/decisions/rendezvous.h"
 
 namespace mimosagauge {
 namespace detail {
@@ -84,14 +85,9 @@
       DueTime(gateway, record.verdict, *record.arrival.head, context.now);
   const RequestNumber number = record.arrival.number;
   ++MetricsOf(gateway, record).requests;
-  if (record.arrival.origin == Origin::kCaller) {
-    CreditFirstAttempt(RetryBudgetOf(gateway, record.verdict.service));
-  }
   gateway.deadlines.emplace(record.due, number);
-  const bool keyed =
-      record.arrival.head->key.has_value() && !record.verdict.idempotent;
   gateway.requests.emplace(number, std::move(record));
-  keyed ? AdmitKeyed(context, number) : PlaceRequest(context, number);
+  ServeUnderAllowance(context, number);
 }
 
 void Handle(StepContext& context, RequestAbandoned&& event) {
@@ -153,6 +149,7 @@
   if (!event.up && context.gateway.catalogue != nullptr) {
     MaintainLinks(context);
   }
+  SetAllowanceLink(context, event.instance, event.up);
   UpdateInstanceShares(context.gateway);
   const PeerState* peer = FindPeer(context.gateway, event.instance);
   if (peer != nullptr && !peer->up && !peer->leaving_since && !peer->listed) {
@@ -186,6 +183,7 @@
   Apply(context, RemoveExpiredKeys(context.gateway.keys, context.now));
   Apply(context, TickClaims(context.gateway.claims, context.now));
   Apply(context, TickRulesGossip(context.gateway.spread, context.now));
+  TickAllowances(context);
 }
 
 ServiceMetrics& MetricsOf(Gateway& gateway, const RequestRecord& record) {
@@ -225,6 +223,16 @@
 
 }  // namespace detail
 
+namespace {
+
+// Derived from the seed without drawing from the random numbers, so that other
+// decisions do not depend on whether allowances are enforced.
+[[nodiscard]] std::uint64_t FirstAllowanceNonce(std::uint64_t seed) {
+  return RendezvousWeight(seed, "allowances");
+}
+
+}  // namespace
+
 Gateway MakeGateway(GatewayConfig config, TimePoint now, std::uint64_t seed) {
   Gateway gateway;
   gateway.keys = MakeKeyTable(config.self, now);
@@ -238,6 +246,9 @@
   gateway.random.seed(seed);
   gateway.upstreams.speeds = gateway.config.speeds;
   gateway.spread = MakeRulesGossip({}, seed);
+  gateway.allowances =
+      MakeAllowances(gateway.config.instance, gateway.config.region,
+                     gateway.config.allowances, now, FirstAllowanceNonce(seed));
   return gateway;
 }
 
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -133,7 +133,7 @@
 void ResumeStream(StepContext& context, RequestRecord& record) {
   record.resuming = true;
   ++MetricsOf(context.gateway, record).resumed;
-  PlaceRequest(context, record.arrival.number);
+  PlaceFurtherRun(context, record, RunState::kRan);
 }
 
 void RetryOrFail(StepContext& context, RequestRecord& record, RunState run,
@@ -155,7 +155,7 @@
                   {"place", record.visited.back().name},
                   {"run", std::string(ToString(run))},
                   {"error", record.last_failure}}});
-    return PlaceRequest(context, record.arrival.number);
+    return PlaceFurtherRun(context, record, run);
   }
   RefuseOrAbort(context, record, FailureProblem(record, std::move(problem)));
 }
@@ -230,7 +230,7 @@
   });
   record.last_failure =
       "the upstream answered with status 500, 502, 503 or 504";
-  PlaceRequest(context, record.arrival.number);
+  PlaceFurtherRun(context, record, RunState::kRan);
   return true;
 }
 
--- a/src/decisions/gateway_regions.cc
+++ b/src/decisions/gateway_regions.cc
@@ -143,6 +143,7 @@
   Duration best = Duration::max();
   for (const PeerState& peer : gateway.peers) {
     const bool eligible = !IsInOwnRegion(gateway, peer) && peer.up &&
+                          !peer.only_for_allowances &&
                           IsPeerAllowed(record, peer.config) &&
                           CanRegionServe(gateway, peer.config.region,
                                          record.verdict.service, now);
--- a/src/decisions/gateway_request.cc
+++ b/src/decisions/gateway_request.cc
@@ -136,6 +136,7 @@
     return;
   }
   CancelRunningAttempt(context, *record);
+  ReleaseAllowance(context, *record);
   if (record->queue_position) {
     RemoveWaiting(context.gateway.waiting, *record->queue_position);
   }
--- a/src/decisions/gateway_view.cc
+++ b/src/decisions/gateway_view.cc
@@ -111,7 +111,8 @@
   gateway.last_view_at = context.now;
   if (first || context.now - gateway.metrics_text_at >= kMetricsInterval) {
     gateway.metrics_text_at = context.now;
-    gateway.metrics_text = PrometheusText(gateway.metrics);
+    gateway.metrics_text = PrometheusText(gateway.metrics) +
+                           AllowanceMetricsText(gateway, context.now);
   }
   auto view = std::make_shared<const InstanceView>(View(gateway, context.now));
   context.effects.emplace_back(ForCallers{PublishView{view}});
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -142,6 +142,7 @@
       // not.
       usable += peer->up || !peer->link_requested ? 1 : 0;
       ensure_link(*peer);
+      peer->only_for_allowances = false;
     }
   }
 }
@@ -184,6 +185,7 @@
     AddOrUpdateUpstream(context, record);
   }
   UpdateInstanceShares(gateway);
+  AdoptAllowances(context);
   context.effects.emplace_back(WriteLog{
       log_events::kConfigurationAdopted,
       {{"version", std::to_string(gateway.catalogue->revision.value())},
--- a/src/decisions/problems.cc
+++ b/src/decisions/problems.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kTooManyRequests = 429;
 constexpr std::uint16_t kBadGateway = 502;
 constexpr std::uint16_t kServiceUnavailable = 503;
 constexpr std::uint16_t kGatewayTimeout = 504;
@@ -179,6 +180,28 @@
       "the instance is shutting down and accepts no new requests", run);
 }
 
+Problem AllowanceExceeded(Duration retry_after) {
+  Problem problem =
+      MakeProblem(kTooManyRequests,
+                  {"allowance-exceeded", "The account is beyond its allowance",
+                   "retry after the time in Retry-After"},
+                  "the requests of this account have used up its allowance",
+                  RunState::kNotRun);
+  problem.retry_after = retry_after;
+  return problem;
+}
+
+Problem AllowanceNotKnown(Duration retry_after) {
+  Problem problem = MakeProblem(
+      kServiceUnavailable,
+      {"allowance-unknown", "The account's allowance cannot be checked now",
+       "retry after the time in Retry-After"},
+      "no instance that lends from the account's allowance answers",
+      RunState::kNotRun);
+  problem.retry_after = retry_after;
+  return problem;
+}
+
 Problem PoisonRefused(std::string detail, RunState run, Duration remaining) {
   Problem problem = MakeProblem(
       run == RunState::kNotRun ? kServiceUnavailable : kBadGateway,
--- a/src/duties/links/client.cc
+++ b/src/duties/links/client.cc
@@ -19,8 +19,6 @@
 
 /// Maximum number of attempts that wait for one connection to open.
 constexpr std::size_t kMaxWaitingAttempts = 1024;
-/// A link with more queued bytes than this accepts no more requests or gossip.
-constexpr Bytes kMaxQueuedBytes = Kibibytes(32UL * 1024);
 /// Bytes by which an answer may exceed its credit: the payload of one frame.
 constexpr Bytes kMaxCreditOverrun{kMaxDataPayload};
 constexpr std::uint32_t kMaxBackoffDoublings = 16;
@@ -580,29 +578,6 @@
        "run the same release on both sides"});
 }
 
-void LinkClient::Handle(SendLoad&& load) {
-  Handle(SendGossip{std::move(load.to), EncodeLoadDigest(*load.digest)});
-}
-
-void LinkClient::Handle(SendGossip&& gossip) {
-  const auto found = peers_.find(gossip.to);
-  const bool is_up =
-      found != peers_.end() && found->second->state == PeerState::kUp;
-  if (is_up) {
-    LinkConnection& link = *found->second->connection;
-    const bool sent = link.is_open() &&
-                      link.queue().size() <= kMaxQueuedBytes &&
-                      link.SendControl(GossipMessage{std::move(gossip.bytes)});
-    if (sent) {
-      return;
-    }
-  } else if (found != peers_.end() &&
-             found->second->state == PeerState::kIdle && !stopped_) {
-    Dial(*found->second);
-  }
-  ++counters_.dropped_gossip;
-}
-
 std::uint64_t LinkClient::bytes_written() const noexcept {
   std::uint64_t bytes = 0;
   for (const auto& [id, peer] : peers_) {
--- a/src/duties/links/duty.cc
+++ b/src/duties/links/duty.cc
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/wire/allowance_codec.h"
 
 namespace mimosagauge {
 namespace {
@@ -96,7 +97,9 @@
   std::visit(
       [this](auto&& typed) {
         using Typed = std::decay_t<decltype(typed)>;
-        if constexpr (kIsClientEffect<Typed>) {
+        if constexpr (std::is_same_v<Typed, SendAllowance>) {
+          Send(std::forward<decltype(typed)>(typed));
+        } else if constexpr (kIsClientEffect<Typed>) {
           client_.Handle(std::forward<decltype(typed)>(typed));
         } else {
           server_.Handle(std::forward<decltype(typed)>(typed));
@@ -105,4 +108,13 @@
       std::move(effect));
 }
 
+// A lender answers instances of other regions, to which it has no link of its
+// own, over the link that they have opened.
+void LinkDuty::Send(SendAllowance&& message) {
+  const std::string bytes = EncodeAllowance(*message.message);
+  if (!client_.TrySendGossip(message.to, bytes)) {
+    server_.SendGossip(message.to, bytes);
+  }
+}
+
 }  // namespace mimosagauge
--- a/src/duties/links/server.cc
+++ b/src/duties/links/server.cc
@@ -436,6 +436,17 @@
   decisions_.Post(AnswerConsumed{found->second, credit.bytes});
 }
 
+void LinkServer::SendGossip(const InstanceId& to, std::string bytes) {
+  const auto found = link_by_instance_.find(to);
+  if (found == link_by_instance_.end()) {
+    return;
+  }
+  LinkConnection& connection = *found->second->connection;
+  if (connection.is_open() && connection.queue().size() <= kMaxQueuedBytes) {
+    connection.SendControl(GossipMessage{std::move(bytes)});
+  }
+}
+
 void LinkServer::HandleMessage(const LinkPtr& link, GossipMessage&& gossip) {
   PostGossip(decisions_, link->connection->peer(), std::move(gossip.data));
 }
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/duties/common/monotonic_clock.h"
 #include "mimosagauge/impl/store/json_document.h"
 
 namespace mimosagauge {
@@ -75,6 +76,7 @@
       watch_timer_(io_context),
       renewal_timer_(io_context),
       missing_timer_(io_context),
+      replacement_timer_(io_context),
       last_answer_at_(Clock::now()) {}
 
 void FleetDuty::Start() {
@@ -86,6 +88,7 @@
   watch_timer_.cancel();
   renewal_timer_.cancel();
   missing_timer_.cancel();
+  replacement_timer_.cancel();
   store_.reset();
 }
 
@@ -108,13 +111,28 @@
     return;
   }
   lease_ = LeaseId{};
-  store_->GrantLease(settings_.session, [this](Result<StoreLease>&& granted) {
-    RecordCallResult(bool{granted}, granted ? "" : granted.error().message);
-    if (!granted || granted.value().id == LeaseId{}) {
-      return ScheduleRenewal(times_.retry, true);
-    }
-    WriteRegistration(granted.value().id);
-  });
+  const TimePoint sent = MonotonicNow();
+  RecordLease(lease_, sent, Duration::zero());
+  store_->GrantLease(
+      settings_.session, [this, sent](Result<StoreLease>&& granted) {
+        RecordCallResult(bool{granted}, granted ? "" : granted.error().message);
+        if (!granted || granted.value().id == LeaseId{}) {
+          return ScheduleRenewal(times_.retry, true);
+        }
+        const StoreLease& lease = granted.value();
+        RecordLease(lease.id, sent, lease.remaining);
+        WriteRegistration(lease.id);
+      });
+}
+
+// Posts until when the lease is certainly valid. It is counted from when the
+// call began, so it ends no later than in the store, however often the call was
+// repeated.
+void FleetDuty::RecordLease(LeaseId lease, TimePoint sent, Duration lifetime) {
+  if (settings_.allowances) {
+    decisions_.Post(LeaseRenewed{lease.value(),
+                                 sent + std::min(lifetime, settings_.session)});
+  }
 }
 
 // The write has no condition: an entry that remains from an earlier start of
@@ -155,7 +173,8 @@
   if (leaving_) {
     return;
   }
-  store_->KeepAlive(lease_, [this](Result<StoreLease>&& renewed) {
+  const TimePoint sent = MonotonicNow();
+  store_->KeepAlive(lease_, [this, sent](Result<StoreLease>&& renewed) {
     RecordCallResult(bool{renewed}, renewed ? "" : renewed.error().message);
     if (!renewed) {
       return ScheduleRenewal(times_.retry, false);
@@ -164,6 +183,7 @@
       Log(log_events::kRegistrationLost);
       return Register();
     }
+    RecordLease(lease_, sent, renewed.value().remaining);
     ScheduleRenewal(settings_.session / kRenewalsPerSession, false);
   });
 }
@@ -174,6 +194,7 @@
   }
   leaving_ = true;
   renewal_timer_.cancel();
+  replacement_timer_.cancel();
   if (lease_ != LeaseId{}) {
     RevokeRegistration();
   }
@@ -183,6 +204,35 @@
   store_->Revoke(lease_, [](Result<LeaseId>&& /*ended*/) {});
 }
 
+// An entry of an earlier process of this instance that was written over keeps
+// its creation revision. This instance may not lend under it, and it keeps
+// younger instances from lending. It is therefore removed and written anew, but
+// only after one session: by then the lease of the earlier process has ended.
+void FleetDuty::AddReplacementTimer() {
+  replacement_timer_.expires_after(settings_.session);
+  replacement_timer_.async_wait([this](const auto& canceled) {
+    const auto own = registrations_.find(RegistrationKey());
+    const bool replaceable = own != registrations_.end() &&
+                             own->second.created != own->second.modified &&
+                             own_entry_lease_ == lease_;
+    if (!canceled && store_ != nullptr && !leaving_ && replaceable) {
+      ReplaceRegistration();
+    }
+  });
+}
+
+// The watch reports the removal, whereupon the entry is written again.
+void FleetDuty::ReplaceRegistration() {
+  StoreTransaction removal;
+  removal.writes = {StoreDelete{RegistrationKey()}};
+  store_->Commit(removal, [this](Result<StoreCommitResult>&& result) {
+    RecordCallResult(bool{result}, result ? "" : result.error().message);
+    if (!result) {
+      AddReplacementTimer();
+    }
+  });
+}
+
 // Reads and polls of the store.
 
 void FleetDuty::RunAfter(Duration delay, void (FleetDuty::*next_step)()) {
@@ -260,6 +310,7 @@
   for (const auto& [key, entry] : read.entries) {
     PostEntry(entry);
   }
+  PostRegistrations();
   read_.reset();
   Poll();
 }
@@ -309,6 +360,7 @@
     }
   }
   AdvanceSeenRevision(update.revision);
+  PostRegistrations();
   if (update.changes.empty()) {
     return Poll();
   }
@@ -319,6 +371,7 @@
 
 void FleetDuty::PostEntry(const StoreEntry& entry) {
   missing_until_.erase(entry.key);
+  UpdateRegistration(entry.key, &entry);
   StoreRevision& posted_revision = posted_revisions_[entry.key];
   if (entry.modified <= posted_revision) {
     return;
@@ -390,9 +443,60 @@
                                    entry_at.value(), link_at.value()}});
 }
 
+// Records a registration as the store has it; null: it was removed.
+void FleetDuty::UpdateRegistration(const std::string& key,
+                                   const StoreEntry* entry) {
+  const auto id = SuffixAfter(key, instances_prefix_);
+  if (!settings_.allowances || id.empty()) {
+    return;
+  }
+  const auto known = registrations_.find(key);
+  if (entry == nullptr) {
+    registrations_changed_ |= known != registrations_.end();
+    registrations_.erase(key);
+    own_entry_lease_ = key == RegistrationKey() ? LeaseId{} : own_entry_lease_;
+    return;
+  }
+  if (known != registrations_.end() &&
+      entry->modified.value() <= known->second.modified) {
+    return;
+  }
+  const auto document = ParseJsonDocument(entry->value);
+  registrations_changed_ = true;
+  registrations_[key] = {
+      InstanceId{std::string(id)},
+      RegionId{document.is_object() ? StringField(document, "region") : ""},
+      entry->created.value(), entry->modified.value()};
+  if (key == RegistrationKey()) {
+    own_entry_lease_ = entry->lease;
+    if (entry->created != entry->modified) {
+      AddReplacementTimer();
+    }
+  }
+}
+
+// Posts the registrations if they changed. They are complete only after a whole
+// read or update of the watch has been applied.
+void FleetDuty::PostRegistrations() {
+  if (!std::exchange(registrations_changed_, false)) {
+    return;
+  }
+  RegistrationTable table;
+  table.revision = seen_revision_.value();
+  table.own_entry_lease = own_entry_lease_.value();
+  for (const auto& [key, registration] : registrations_) {
+    table.list.push_back(registration);
+    // Older entries may be missing until the changes up to the newest entry
+    // have been received.
+    registrations_changed_ |= registration.modified > table.revision;
+  }
+  decisions_.Post(RegistrationsReceived{std::move(table)});
+}
+
 // Removes the entry, or defers that for a while after an outage, when entries
 // of running instances and upstreams may be missing until they register again.
 void FleetDuty::RemoveOrDefer(const std::string& key) {
+  UpdateRegistration(key, nullptr);
   const auto until = outage_ended_at_ + times_.return_grace;
   if (outage_ended_at_ == Clock::time_point{} || Clock::now() >= until) {
     return RemoveEntry(key);
--- a/tests/support/allowance_world.cc
+++ b/tests/support/allowance_world.cc
@@ -125,7 +125,7 @@
 void AllowanceWorld::TickNode(std::size_t instance, std::uint64_t life) {
   Act(instance, [this, instance] {
     AllowanceOutput output;
-    Tick(nodes_[instance].state, ClockOf(nodes_[instance]), output);
+    DoDueWork(nodes_[instance].state, ClockOf(nodes_[instance]), output);
     Deliver(instance, std::move(output));
   });
   At(now_ + kTickInterval, [this, instance, life] {
--- a/tests/unit/allowance_load_test.cc
+++ b/tests/unit/allowance_load_test.cc
@@ -227,6 +227,34 @@
   CHECK(BelowShare(others) < kAllowedShare);
 }
 
+// Guards against a region without service because its lender was lost.
+TEST_CASE("the loss of a lender is bridged by the lenders of other regions") {
+  AllowanceWorld world(LargeDeployment());
+  world.Run(seconds(6));
+  Callers callers(world);
+  callers.peaks = false;
+  callers.Run(seconds(3));
+  world.ForgetDecided();
+  const std::vector<std::size_t> lenders = world.Lenders(0);
+  REQUIRE(lenders.size() == 1);
+  const bool frozen = GENERATE(false, true);
+  CAPTURE(frozen);
+  if (frozen) {
+    world.Freeze(lenders[0], seconds(6));
+  } else {
+    world.Kill(lenders[0]);
+  }
+  callers.Run(seconds(8));
+  const Counts all = CountOf(world, 0, kWeights.size());
+  Print(frozen ? "lender frozen" : "lender killed", all);
+  CHECK(BelowShare(all) < kAllowedShare);
+  CHECK(world.Lenders(0).size() == 1);
+  CHECK(world.Lenders(0) != lenders);
+  for (std::size_t i = 0; i < kWeights.size(); ++i) {
+    CheckBound(world, i);
+  }
+}
+
 // Uses up all of an account's allowance, then asks once more, and again when a
 // part of the time in Retry-After has passed, from another instance.
 [[nodiscard]] AllowanceVerdict RetryAfterPart(double units, double part) {
