--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -277,6 +277,17 @@
   const std::string end = "{{/zones}}";
   const std::size_t section = text.find(begin);
   text.replace(section, text.find(end) + end.size() - section, zones);
+  const std::string quota_begin = "{{#bounds.quotaWindowS}}\n";
+  const std::string quota_end = "{{/bounds.quotaWindowS}}";
+  const std::size_t quota = text.find(quota_begin);
+  const std::size_t quota_size =
+      text.find(quota_end) + quota_end.size() - quota;
+  text.replace(
+      quota, quota_size,
+      options_.allowances
+          ? text.substr(quota + quota_begin.size(),
+                        quota_size - quota_begin.size() - quota_end.size())
+          : "");
   const auto next_endpoint = [this] {
     return Endpoint{address_, next_port_++};
   };
@@ -294,6 +305,9 @@
       {"{{ip}}:{{portRange.1}}", ToString(next_endpoint())},
       {"{{platform.addr}}", ToString(store_.endpoint())},
       {"{{limits.memoryMb}}", "260"},
+      {"{{bounds.quotaWindowS}}", "8"},
+      {"{{bounds.quotaExcess}}", "1.1"},
+      {"{{bounds.quotaSlack}}", "190000"},
       {"{{bounds.retryRatio}}", std::to_string(options_.retry_ratio)},
       {"{{bounds.retrySlack}}", std::to_string(options_.retry_slack)}};
   for (const auto& [name, value] : values) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -34,6 +34,7 @@
   std::size_t attempts = 2;              ///< Of the idempotent route.
   double retry_ratio = 0.2;
   double retry_slack = 52;
+  bool allowances = false;  ///< Whether the deployment enforces allowances.
 };
 
 /// \brief A request that a caller sent, or that reached an upstream.
--- a/tests/unit/link_carries_requests_test.cc
+++ b/tests/unit/link_carries_requests_test.cc
@@ -64,6 +64,23 @@
   CHECK(pair.near->All<AttemptFailed>().empty());
 }
 
+// Guards against a lender that cannot answer an instance of another region, to
+// which it has no link of its own.
+TEST_CASE("messages about allowances pass a link in both directions") {
+  Pair pair;
+  auto message = std::make_shared<AllowanceMessage>();
+  message->requests.push_back({AccountHash{1}, AllowanceNonce{2}, 5, 0, true});
+  pair.near->Do(SendAllowance{InstanceId{"mombasa-a-1"}, message});
+  const auto request = pair.far.Wait<AllowanceReceived>();
+  REQUIRE(request);
+  CHECK(request->from == InstanceId{"nairobi-a-1"});
+  CHECK(request->message.requests.front().need == 5);
+  pair.far.Do(SendAllowance{InstanceId{"nairobi-a-1"}, message});
+  const auto response = pair.near->Wait<AllowanceReceived>();
+  REQUIRE(response);
+  CHECK(response->from == InstanceId{"mombasa-a-1"});
+}
+
 TEST_CASE("answers in another order reach their own requests") {
   constexpr std::uint64_t kRequests = 50;
   Pair pair;
