Review stand: leave out sections of the deploy file for bounds it lacks

Cause: the deploy file has a section that is rendered only where the deployment has quotas. Change: sections that begin with 'bounds.' are removed. Result: compiles; the removal was tried on the deploy file.

--- a/review/stand/gateway.cc
+++ b/review/stand/gateway.cc
@@ -45,6 +45,13 @@
   const std::size_t section = text.find(begin);
   text.replace(section, text.find(end) + end.size() - section,
                "  - id: \"nairobi-a\"\n    region: \"nairobi\"");
+  // Sections for bounds that this stand's deployment does not have.
+  const std::string bound = "{{#bounds.";
+  for (std::size_t at = text.find(bound); at != std::string::npos;
+       at = text.find(bound)) {
+    const std::size_t last = text.find("}}", text.find("{{/bounds.", at));
+    text.erase(at, last + 2 - at);
+  }
   const std::map<std::string, std::string> values{
       {"{{node}}", place.node},
       {"{{region}}", "nairobi"},
