Merge branch 'allowance': allowances over all instances

The template of deployments moves to deploy/fleet.yaml, and review/ stays as it was: its stand reads deploy/settings.yaml. allowances.excess is the part by which a window may exceed the allowance (0.1), as deployments give it.

--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -13,6 +13,7 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/time.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/allowance/bucket.h"
 #include "mimosagauge/impl/decisions/engine_load.h"
 #include "mimosagauge/impl/decisions/once/fingerprint.h"
 #include "mimosagauge/impl/decisions/once/key_owner.h"
@@ -119,6 +120,7 @@
   /// Time after which a key that the operators removed must be refused, also
   /// where the store cannot be reached; empty: strict revocation is off.
   std::optional<Duration> strict_revocation;
+  AllowanceSettings allowances;
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -153,6 +153,13 @@
   ConfirmationMessage message;
 };
 
+/// \brief Sends a message about allowances to another instance, over a link in
+/// either direction. The message may be lost.
+struct SendAllowance {
+  InstanceId to;
+  std::shared_ptr<const AllowanceMessage> message;  ///< Never null.
+};
+
 /// \brief Publishes a view of this instance, which replaces the previous one.
 struct PublishView {
   InstanceViewPtr view;  ///< Never null.
@@ -178,7 +185,7 @@
                  SendAnswerHead, SendAnswerBody, SendAnswerEnd, AbortAnswer,
                  SendProblem, SendGossip, SendLoad, ConnectInstance,
                  DisconnectInstance, SendTraffic, SendPlacement,
-                 SendConfirmation>;
+                 SendConfirmation, SendAllowance>;
 
 /// \brief An effect for one duty; the wrapper's type names the duty.
 struct ForUpstreams {
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -13,6 +13,8 @@
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
 #include "mimosagauge/impl/decisions/accounts/confirmation.h"
+#include "mimosagauge/impl/decisions/allowance/messages.h"
+#include "mimosagauge/impl/decisions/allowance/seniority.h"
 #include "mimosagauge/impl/decisions/coordination/messages.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
@@ -179,6 +181,23 @@
   ConfirmationMessage message;
 };
 
+/// \brief The registrations of instances in the store, after they changed.
+struct RegistrationsReceived {
+  RegistrationTable table;
+};
+
+/// \brief The lease of this instance's registration was granted or renewed.
+struct LeaseRenewed {
+  std::uint64_t lease = 0;
+  TimePoint end{};  ///< Counted from when the renewal was sent.
+};
+
+/// \brief A message of another instance about allowances was received.
+struct AllowanceReceived {
+  InstanceId from;
+  AllowanceMessage message;
+};
+
 /// \brief A call to the store about claims of keys was answered or failed.
 struct ClaimStoreAnswered {
   StoreEvent answer;
@@ -197,7 +216,8 @@
     InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
     LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick,
     TrafficReceived, PlacementReceived, ConfigurationConfirmed,
-    ConfirmationReceived>;
+    ConfirmationReceived, RegistrationsReceived, LeaseRenewed,
+    AllowanceReceived>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -18,6 +18,7 @@
 
 #include "mimosagauge/impl/decisions/accounts/confirmation.h"
 #include "mimosagauge/impl/decisions/accounts/refusal_log.h"
+#include "mimosagauge/impl/decisions/allowance/allowances.h"
 #include "mimosagauge/impl/decisions/config.h"
 #include "mimosagauge/impl/decisions/coordination/asker.h"
 #include "mimosagauge/impl/decisions/effects.h"
@@ -93,6 +94,9 @@
   bool detached = false;       ///< The sender disconnected; the run continues.
   std::string last_failure;    ///< Error message of the last failed attempt.
   RequestPlacement placement;  ///< Of the current attempt at an engine.
+  /// Units of the account's allowance charged for its run; empty: none.
+  std::optional<AllowanceCharge> charge;
+  bool awaits_allowance = false;  ///< It is held until it is charged.
 };
 
 /// \brief State of another instance, as seen by this one.
@@ -103,6 +107,9 @@
   std::optional<TimePoint> leaving_since;
   bool listed = true;  ///< It is registered, or listed in the settings.
   bool link_requested = false;  ///< A link to it has been requested.
+  /// The link was requested for messages about allowances, and no requests are
+  /// forwarded over it: all instances have such links to the same few others.
+  bool only_for_allowances = false;
 };
 
 /// \brief The capacity that another region offers, by service.
@@ -175,6 +182,9 @@
   bool refusing_requests = false;  ///< The leave notice is over, and new
                                    ///< requests are refused.
   bool finished = false;  ///< The effect that ends the drain was emitted.
+  Allowances allowances;
+  /// When the lack of a lender was last logged.
+  TimePoint lender_missing_logged{};
   GatewayMetrics metrics;
   /// When a view was last published; zero: the next one is published at once.
   TimePoint last_view_at{};
--- a/include/mimosagauge/impl/decisions/problems.h
+++ b/include/mimosagauge/impl/decisions/problems.h
@@ -59,6 +59,12 @@
 /// common.
 [[nodiscard]] Problem NoCommonRegion(const RequestHead& head, RunState run);
 
+/// The request's account is beyond its allowance.
+/// \param retry_after The time until the request would be admitted.
+[[nodiscard]] Problem AllowanceExceeded(Duration retry_after);
+/// It cannot be found out whether the account is beyond its allowance.
+[[nodiscard]] Problem AllowanceNotKnown(Duration retry_after);
+
 /// Requests with the same content have crashed upstreams. The status is 503 if
 /// this request was not run, else 502.
 /// \param remaining The time until requests with it are accepted again.
--- a/include/mimosagauge/impl/duties/links/duty.h
+++ b/include/mimosagauge/impl/duties/links/duty.h
@@ -62,6 +62,8 @@
   void Send(SendConfirmation&& confirmation);
   [[nodiscard]] Result<LinkTlsContextPtr> MakeTlsContext() const;
 
+  void Send(SendAllowance&& message);
+
   const Settings& settings_;
   LinkTimings timings_;
   LinkClient client_;
--- a/include/mimosagauge/impl/duties/links/server.h
+++ b/include/mimosagauge/impl/duties/links/server.h
@@ -69,6 +69,10 @@
   /// connection by which the question came; drops it if that is closed.
   void Handle(SendConfirmation&& answer);
 
+  /// \brief Sends control state to an instance over the connection that it has
+  /// opened. The message is dropped if there is none, or if it is too busy.
+  void SendGossip(const InstanceId& to, std::string bytes);
+
   [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
   [[nodiscard]] const LinkServerCounters& counters() const noexcept {
     return counters_;
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -106,6 +106,15 @@
   std::optional<Duration> strict;
 };
 
+/// \brief How the allowances of accounts are enforced over all instances.
+struct AllowanceSectionSettings {
+  Duration window = AllowanceSettings{}.window;  ///< At least 1 s.
+  /// Part of the allowance by which a window may exceed it; above 0.
+  double excess = AllowanceSettings{}.excess - 1;
+  double slack = AllowanceSettings{}.slack;      ///< Tokens; at least 0.
+  double reserve = AllowanceSettings{}.reserve;  ///< From 0 to below 1.
+};
+
 /// \brief What is assumed of upstreams until their answers show it.
 struct EngineSettings {
   double prompt_tokens_per_ms = EngineSpeeds{}.prompt_tokens_per_ms;
@@ -158,6 +167,8 @@
   bool plain_links = false;  ///< Links need no TLS: the network is trusted.
   RetrySettings retries;
   RevocationSettings revocation;
+  /// Empty: allowances are not enforced.
+  std::optional<AllowanceSectionSettings> allowances;
   EngineSettings engines;
   PlacementSettings placement;
   std::string operator_token;
--- a/src/decisions/gateway_request.cc
+++ b/src/decisions/gateway_request.cc
@@ -138,6 +138,7 @@
   }
   CancelRunningAttempt(context, *record);
   ReportEnd(context, *record);
+  ReleaseAllowance(context, *record);
   if (record->queue_position) {
     RemoveWaiting(context.gateway.waiting, *record->queue_position);
   }
--- a/src/decisions/gateway_view.cc
+++ b/src/decisions/gateway_view.cc
@@ -113,7 +113,8 @@
   if (first || context.now - gateway.metrics_text_at >= kMetricsInterval) {
     gateway.metrics_text_at = context.now;
     gateway.metrics_text = PrometheusText(gateway.metrics) +
-                           PlacementMetricsText(gateway.placement);
+                           PlacementMetricsText(gateway.placement) +
+                           AllowanceMetricsText(gateway, context.now);
   }
   auto view = std::make_shared<const InstanceView>(View(gateway, context.now));
   context.effects.emplace_back(ForCallers{PublishView{view}});
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -385,6 +385,15 @@
     config.limits.placement_spread = kPlacementSpread;
   }
   config.strict_revocation = settings.revocation.strict;
+  if (settings.allowances) {
+    config.allowances.enforced = true;
+    config.allowances.window = settings.allowances->window;
+    config.allowances.excess = 1 + settings.allowances->excess;
+    config.allowances.slack = settings.allowances->slack;
+    config.allowances.reserve = settings.allowances->reserve;
+    config.allowances.regions = settings.regions.size();
+    config.allowances.session = settings.session;
+  }
   config.speeds.prompt_tokens_per_ms = settings.engines.prompt_tokens_per_ms;
   config.speeds.first_token = settings.engines.first_token;
   config.memory = settings.limits.memory;
--- a/src/duties/links/gossip.cc
+++ b/src/duties/links/gossip.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "mimosagauge/impl/duties/common/log.h"
+#include "mimosagauge/impl/wire/allowance_codec.h"
 #include "mimosagauge/impl/wire/confirmation_codec.h"
 #include "mimosagauge/impl/wire/load_codec.h"
 #include "mimosagauge/impl/wire/placement_codec.h"
@@ -35,6 +36,9 @@
     case kPlacementTag:
       return PostDecoded<PlacementReceived>(decisions, from,
                                             DecodePlacementMessage(data));
+    case kAllowanceTag:
+      return PostDecoded<AllowanceReceived>(decisions, from,
+                                            DecodeAllowance(data));
     case kConfirmationTag:
       return PostDecoded<ConfirmationReceived>(decisions, from,
                                                DecodeConfirmation(data));
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -231,6 +231,13 @@
   if (auto section = OpenSection(file, "revocation")) {
     Read(*section, "strict", settings.revocation.strict);
   }
+  if (auto section = OpenSection(file, "allowances")) {
+    AllowanceSectionSettings& allowances = settings.allowances.emplace();
+    Read(*section, "window", allowances.window);
+    Read(*section, "excess", allowances.excess);
+    Read(*section, "slack", allowances.slack);
+    Read(*section, "reserve", allowances.reserve);
+  }
   if (auto section = OpenSection(file, "engines")) {
     Read(*section, "prompt_tokens_per_ms",
          settings.engines.prompt_tokens_per_ms);
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -304,7 +304,7 @@
 }
 
 void PlatformFleet::WriteSettings(FleetInstance& instance) {
-  std::string text = ReadFile(MIMOSAGAUGE_SOURCE_DIR "/deploy/settings.yaml");
+  std::string text = ReadFile(MIMOSAGAUGE_SOURCE_DIR "/deploy/fleet.yaml");
   std::string zones;
   for (std::size_t region = 0; region < options_.regions; ++region) {
     zones += fmt::format("  - id: \"{}\"\n    region: \"{}\"\n",
@@ -315,6 +315,9 @@
   ReplaceSection(
       text, "bounds.strictRevoke",
       strict == milliseconds(0) ? "" : SectionOf(text, "bounds.strictRevoke"));
+  ReplaceSection(
+      text, "bounds.quotaWindowS",
+      options_.allowances ? SectionOf(text, "bounds.quotaWindowS") : "");
   const auto next_endpoint = [this] {
     return Endpoint{address_, next_port_++};
   };
@@ -338,6 +341,9 @@
       {"{{limits.memoryMb}}", "260"},
       {"{{bounds.revokeMs}}",
        std::to_string(options_.strict_revocation.count())},
+      {"{{bounds.quotaWindowS}}", "8"},
+      {"{{bounds.quotaExcess}}", "0.1"},
+      {"{{bounds.quotaSlack}}", "190000"},
       {"{{bounds.retryRatio}}", std::to_string(options_.retry_ratio)},
       {"{{bounds.retrySlack}}", std::to_string(options_.retry_slack)}};
   for (const auto& [name, value] : values) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -38,6 +38,7 @@
   /// Time within which revoked keys are refused; zero: not strict, and no
   /// accounts.
   std::chrono::milliseconds strict_revocation{0};
+  bool allowances = false;  ///< Whether the deployment enforces allowances.
 };
 
 /// \brief A request that a caller sent, or that reached an upstream.
