Finish a planned stop only when the answers are written

What the connection to the caller, or the link to another instance, still held was dropped when the drain finished.

Change: the decisions keep the answers whose last effect was emitted. The caller duty and the accepting side of links report each once, with its last byte written or when the connection has closed (AnswersWritten). A drain ends when no request is in progress and no answer is unwritten, or when the grace period is over. Readiness, the log and the metrics count both. A second SIGTERM is logged and changes nothing; a second SIGINT ends the process at once, as before.

The files of the caller's connection and of the accepting side of links are split by what changes together (reading and answers).

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -116,6 +116,26 @@
 inline constexpr LogEvent kUpstreamLimit{
     8205, LogLevel::kInfo, "an upstream named, changed or ended a rate limit",
     "look at the upstream; it takes fewer requests than usual"};
+inline constexpr LogEvent kStopRepeated{
+    8351, LogLevel::kInfo,
+    "SIGTERM came again; the graceful shutdown continues",
+    "send SIGINT to cut off what runs"};
+inline constexpr LogEvent kUpstreamCold{
+    8352, LogLevel::kInfo, "an upstream is cold and gets few requests",
+    "none; its cold period ends by itself"};
+inline constexpr LogEvent kSourceChanged{
+    8353, LogLevel::kWarning,
+    "the store is out of contact, or in contact again",
+    "meanwhile upstreams are asked for their state; look at the store"};
+inline constexpr LogEvent kUpstreamLeaving{
+    8354, LogLevel::kInfo, "an upstream stated that it is leaving", ""};
+inline constexpr LogEvent kUpstreamPaused{
+    8355, LogLevel::kInfo,
+    "an upstream asked for a pause and gets no requests meanwhile",
+    "look at the upstream; it answered 503 with Retry-After"};
+inline constexpr LogEvent kPauseIgnored{
+    8356, LogLevel::kWarning, "an upstream's Retry-After was ignored",
+    "let the upstream state a decimal number of seconds, at most 300"};
 inline constexpr LogEvent kUpstreamGone{8203, LogLevel::kInfo,
                                         "an upstream is gone", ""};
 inline constexpr LogEvent kZoneEvacuated{
--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -141,13 +141,20 @@
 /// instances have received.
 struct ReopenWatch {};
 
+/// \brief Sends a health request to an upstream, which takes one of its slots.
+struct RequestHealth {
+  UpstreamId upstream;
+  UpstreamStart start;  ///< Returned with the answer.
+  std::string path;
+};
+
 /// Effects for the duty that accesses the key-value service.
 using StoreEffect = std::variant<LoadSlot, CommitClaims, ReopenWatch>;
 
 /// Effects for the duty that sends requests to upstreams.
 using UpstreamEffect =
     std::variant<StartUpstreamAttempt, CancelAttempt, AddAttemptCredit,
-                 AddUpstream, RemoveUpstream>;
+                 AddUpstream, RemoveUpstream, RequestHealth>;
 /// Effects for the duty that serves callers.
 using CallerEffect = std::variant<SendAnswerHead, SendAnswerBody, SendAnswerEnd,
                                   AbortAnswer, SendProblem, PublishView>;
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -8,10 +8,13 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/units.h"
+#include "mimosagauge/impl/decisions/freshness/upstream_signals.h"
+#include "mimosagauge/impl/decisions/freshness/written_answers.h"
 #include "mimosagauge/impl/decisions/load_digest.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/request.h"
@@ -39,6 +42,12 @@
   RequestNumber number;
 };
 
+/// \brief The duties have finished these answers: their last bytes were written
+/// to the receiver's connection, or that connection has closed.
+struct AnswersWritten {
+  std::vector<WrittenAnswer> answers;
+};
+
 /// \brief The receiver of an answer consumed this many bytes of its body.
 struct AnswerConsumed {
   RequestNumber number;
@@ -55,6 +64,7 @@
   /// Requests per second that the upstream accepts from all instances together;
   /// empty: it names no limit.
   std::optional<double> rate_limit{};
+  UpstreamSignals signals{};
 };
 
 /// \brief Part of an answer's body was received.
@@ -85,6 +95,15 @@
   std::optional<double> rate_limit{};
   /// Whether no process listens at the upstream's address.
   bool connection_refused = false;
+  /// As in `AttemptHeadReceived`.
+  UpstreamSignals signals{};
+};
+
+/// \brief An upstream answered a health request.
+struct UpstreamHealthReceived {
+  UpstreamId upstream;
+  UpstreamStart start;  ///< Of the upstream when the request was sent.
+  UpstreamSignals signals;
 };
 
 /// \brief Rules were received from the store or from another instance.
@@ -143,6 +162,11 @@
   std::uint64_t revision = 0;
 };
 
+/// \brief Calls to the platform's store began to fail, or succeed again.
+struct StoreContactChanged {
+  bool in_contact = true;
+};
+
 /// \brief A load digest of another instance was received.
 struct LoadReceived {
   InstanceId from;
@@ -161,11 +185,12 @@
 struct Tick {};
 
 using Event = std::variant<
-    RequestArrived, RequestAbandoned, AnswerConsumed, AttemptHeadReceived,
-    AttemptBodyReceived, AttemptEnded, AttemptFailed, RulesReceived,
-    CatalogueReceived, UpstreamUpdated, UpstreamRemoved, ZoneEvacuated,
-    InstanceUpdated, InstanceRemoved, LinkChanged, StoreRevisionSeen,
-    LoadReceived, GossipReceived, ClaimStoreAnswered, DrainRequested, Tick>;
+    RequestArrived, RequestAbandoned, AnswersWritten, AnswerConsumed,
+    AttemptHeadReceived, AttemptBodyReceived, AttemptEnded, AttemptFailed,
+    UpstreamHealthReceived, RulesReceived, CatalogueReceived, UpstreamUpdated,
+    UpstreamRemoved, ZoneEvacuated, InstanceUpdated, InstanceRemoved,
+    LinkChanged, StoreRevisionSeen, StoreContactChanged, LoadReceived,
+    GossipReceived, ClaimStoreAnswered, DrainRequested, Tick>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -19,6 +19,8 @@
 #include "mimosagauge/impl/decisions/config.h"
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
+#include "mimosagauge/impl/decisions/freshness/freshness.h"
+#include "mimosagauge/impl/decisions/freshness/written_answers.h"
 #include "mimosagauge/impl/decisions/gateway_metrics.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/once/key_table.h"
@@ -43,6 +45,9 @@
   bool answered = false;       ///< The prompt is no longer counted as unread.
   bool has_error_status = false;  ///< The answer's status is 500 or higher.
   bool body_began = false;        ///< Part of the answer's body was received.
+  UpstreamStart start{};  ///< Of the upstream when the attempt was started.
+  bool paused_upstream = false;  ///< The upstream asked for a pause in its
+                                 ///< answer, which is not a failure.
 };
 
 /// \brief State of a request that has an idempotency key.
@@ -159,6 +164,8 @@
   /// Rate limits of upstreams heard since the last digest to the instances of
   /// this region.
   std::unordered_map<UpstreamHash, NamedLimit> limits_heard;
+  Freshness freshness;
+  WrittenAnswers unwritten;
   AttemptNumber last_attempt;
   std::optional<TimePoint> drain_started;  ///< Empty: not draining.
   bool refusing_requests = false;  ///< The leave notice is over, and new
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -4,6 +4,7 @@
 #define MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
 
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -28,6 +29,12 @@
 [[nodiscard]] RequestRecord* FindRequest(Gateway& gateway,
                                          RequestNumber number) noexcept;
 
+/// Whether an effect is the last one of its answer.
+template <typename AnswerPart>
+inline constexpr bool kEndsAnswer = std::is_same_v<AnswerPart, SendAnswerEnd> ||
+                                    std::is_same_v<AnswerPart, AbortAnswer> ||
+                                    std::is_same_v<AnswerPart, SendProblem>;
+
 /// \brief Emits the effect that sends part of an answer, to the duty that
 /// received the request. Does nothing for a detached request.
 template <typename AnswerPart>
@@ -36,6 +43,9 @@
   if (record.detached) {
     return;
   }
+  if constexpr (kEndsAnswer<AnswerPart>) {
+    AddUnwritten(context.gateway.unwritten, record.arrival.number);
+  }
   part.number = record.arrival.number;
   if (record.arrival.origin == Origin::kCaller) {
     context.effects.emplace_back(ForCallers{std::move(part)});
@@ -255,6 +265,7 @@
 /// \brief Handles an event; there is one overload for each event type.
 void Handle(StepContext& context, RequestArrived&& event);
 void Handle(StepContext& context, RequestAbandoned&& event);
+void Handle(StepContext& context, AnswersWritten&& event);
 void Handle(StepContext& context, AnswerConsumed&& event);
 void Handle(StepContext& context, RulesReceived&& event);
 void Handle(StepContext& context, CatalogueReceived&& event);
@@ -264,6 +275,8 @@
 void Handle(StepContext& context, InstanceUpdated&& event);
 void Handle(StepContext& context, InstanceRemoved&& event);
 void Handle(StepContext& context, StoreRevisionSeen&& event);
+void Handle(StepContext& context, StoreContactChanged&& event);
+void Handle(StepContext& context, UpstreamHealthReceived&& event);
 void Handle(StepContext& context, LoadReceived&& event);
 void Handle(StepContext& context, LinkChanged&& event);
 void Handle(StepContext& context, GossipReceived&& event);
--- a/include/mimosagauge/impl/decisions/gateway_metrics.h
+++ b/include/mimosagauge/impl/decisions/gateway_metrics.h
@@ -10,6 +10,7 @@
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -66,6 +67,10 @@
   std::map<ServiceId, ServiceMetrics> services;
   std::uint64_t discarded = 0;  ///< Events received for attempts that had
                                 ///< already ended.
+  std::size_t in_progress = 0;  ///< Requests whose answer is not complete.
+  std::size_t unwritten = 0;    ///< Complete answers that are not written yet.
+  std::uint64_t cut = 0;        ///< Complete answers whose receiver
+                                ///< disconnected before they were written.
 };
 
 /// \returns The metrics in the Prometheus text format.
--- a/include/mimosagauge/impl/decisions/load_digest.h
+++ b/include/mimosagauge/impl/decisions/load_digest.h
@@ -47,6 +47,21 @@
   Duration age{};  ///< Time since the answer.
 };
 
+/// \brief An upstream that is cold, as its store entry or a health response
+/// stated to the sender.
+struct ColdReport {
+  UpstreamHash upstream;
+  Incarnation incarnation;  ///< Of the process that is cold; zero: unknown.
+  Duration remaining{};
+};
+
+/// \brief A start of an upstream's process that stated to the sender, in a
+/// response, that it is leaving.
+struct DepartureReport {
+  UpstreamHash upstream;
+  Incarnation incarnation;  ///< Zero: unknown.
+};
+
 /// \brief A prompt part that has been sent to an engine for prefill.
 struct PartRead {
   UpstreamHash upstream;
@@ -82,6 +97,12 @@
   std::vector<LimitReport> limits{};
   /// Sent to instances of all regions.
   PoisonNews poison{};
+  /// Sent to instances of its region.
+  std::vector<ColdReport> cold{};
+  /// Sent to instances of its region.
+  std::vector<DepartureReport> departures{};
+  /// Whether the sender's calls to the store succeed.
+  bool store_in_contact = false;
 };
 
 }  // namespace mimosagauge
--- a/include/mimosagauge/impl/decisions/view.h
+++ b/include/mimosagauge/impl/decisions/view.h
@@ -48,8 +48,11 @@
 
 /// \brief An immutable, consistent snapshot of the gateway state machine.
 struct InstanceView {
-  bool ready = false;                    ///< It has rules and is not draining.
-  bool draining = false;                 ///< A graceful shutdown has started.
+  bool ready = false;           ///< It has rules and is not draining.
+  bool draining = false;        ///< A graceful shutdown has started.
+  std::size_t in_progress = 0;  ///< Requests whose response is not complete.
+  std::size_t unwritten = 0;    ///< Complete responses that their receivers
+                                ///< have not taken yet.
   std::shared_ptr<const RuleSet> rules;  ///< Null: none received yet.
   /// Ticket for idempotency keys that this instance will own; empty if no
   /// ticket secret is configured or while the instance is leaving.
--- a/include/mimosagauge/impl/duties/callers/connection.h
+++ b/include/mimosagauge/impl/duties/callers/connection.h
@@ -91,6 +91,8 @@
   void SendCompleteAnswer(std::uint16_t status, std::vector<Header> headers,
                           const std::string& body);
   void FinishAnswer();
+  void EndRequest();
+  void ReportAnswerWritten(bool whole);
   void Write();
   void OnWritten(const boost::beast::error_code& error);
   void OnAnswerWritten();
@@ -112,6 +114,8 @@
   std::optional<Clock::time_point> deadline_;
   // Set from the request's submission until its answer is queued in full.
   std::optional<RequestNumber> request_number_;
+  // Set from then on, until its answer is written or the connection closes.
+  std::optional<RequestNumber> unwritten_number_;
   RequestId request_id_;  // Id of the request being answered.
   // The head of a short answer, written once the body is complete.
   std::optional<AnswerHead> buffered_head_;
--- a/include/mimosagauge/impl/duties/callers/server.h
+++ b/include/mimosagauge/impl/duties/callers/server.h
@@ -80,6 +80,9 @@
   void AbandonRequest(RequestNumber number);
   /// \brief Posts `AnswerConsumed` for body bytes written to the caller.
   void ReportBytesWritten(RequestNumber number, std::uint64_t bytes);
+  /// \brief Posts `AnswersWritten` for an answer that was written completely,
+  /// or whose connection has closed.
+  void ReportAnswerWritten(const WrittenAnswer& written);
   void RemoveConnection(const std::shared_ptr<CallerConnection>& connection);
 
   /// \returns The memory budget for request bodies. Never null.
@@ -109,6 +112,7 @@
       RequestNumber number);
   void ScheduleFlush(const std::shared_ptr<CallerConnection>& connection);
   void FlushScheduled();
+  void PostWrittenAnswers();
 
   boost::asio::io_context& io_;
   const Settings& settings_;
@@ -125,6 +129,8 @@
       requests_;
   // Connections with queued output to be written.
   std::vector<std::shared_ptr<CallerConnection>> flush_queue_;
+  // Answers written since the last `AnswersWritten` was posted.
+  std::vector<WrittenAnswer> written_answers_;
   std::size_t connection_limit_ = 0;
   // Numbers from callers are even, those from links odd.
   std::uint64_t next_request_number_ = 2;
--- a/include/mimosagauge/impl/duties/links/connection.h
+++ b/include/mimosagauge/impl/duties/links/connection.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "mimosagauge/impl/core/error.h"
 #include "mimosagauge/impl/core/time.h"
@@ -67,6 +68,8 @@
     std::function<void(const HelloMessage&)> on_open;
     std::function<void(Message&&)> on_message;
     std::function<void(LinkCloseReason, const Error&)> on_closed;
+    /// Called with finished streams whose last frame was written; may be empty.
+    std::function<void(const std::vector<StreamNumber>&)> on_streams_written{};
   };
 
   /// \param own_hello The greeting that this side sends.
@@ -136,6 +139,7 @@
   void CheckHeartbeat();
   void CloseOnProtocolError(const Error& error);
   void Write();
+  void ReportWrittenStreams();
 
   LinkTransport transport_;
   LinkRole role_;
--- a/include/mimosagauge/impl/duties/links/queue.h
+++ b/include/mimosagauge/impl/duties/links/queue.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "mimosagauge/impl/core/units.h"
 #include "mimosagauge/impl/wire/messages.h"
@@ -44,6 +45,10 @@
   /// its last frame has been taken.
   void FinishStream(StreamNumber stream);
 
+  /// \returns The streams that `FinishStream` was called for and whose last
+  /// frame has been taken, since the last call.
+  [[nodiscard]] std::vector<StreamNumber> TakeFinishedStreams();
+
   /// \brief Removes a stream and its unsent frames.
   /// \returns Whether the queue held the stream and none of its frames had been
   /// taken.
@@ -84,6 +89,7 @@
   std::deque<std::string> control_frames_;
   std::unordered_map<StreamNumber, Stream> streams_;
   std::deque<StreamNumber> ready_streams_;
+  std::vector<StreamNumber> finished_streams_;
   Bytes size_;
 };
 
--- a/include/mimosagauge/impl/duties/links/server.h
+++ b/include/mimosagauge/impl/duties/links/server.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
@@ -104,6 +105,8 @@
     Bytes partial_request_bytes;
     std::unordered_map<StreamNumber, PartialRequest> partial_requests;
     std::unordered_map<StreamNumber, RequestNumber> request_numbers;
+    /// Requests whose answers have ended and still have frames to be written.
+    std::unordered_map<StreamNumber, RequestNumber> unwritten_answers;
   };
 
   void Accept();
@@ -135,6 +138,8 @@
   void AbortRequest(RequestNumber number, ActiveRequest& active_request,
                     Problem problem);
   void FinishRequest(RequestNumber number);
+  void OnStreamsWritten(const LinkPtr& link,
+                        const std::vector<StreamNumber>& streams);
 
   boost::asio::io_context& io_;
   const Settings& settings_;
--- a/include/mimosagauge/impl/wire/load_generated.h
+++ b/include/mimosagauge/impl/wire/load_generated.h
@@ -36,6 +36,10 @@
 
 struct LimitReport;
 
+struct ColdReport;
+
+struct DepartureReport;
+
 struct LoadDigest;
 struct LoadDigestBuilder;
 
@@ -313,6 +317,68 @@
   using type = LimitReport;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ColdReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint64_t incarnation_;
+  uint64_t remaining_us_;
+
+ public:
+  struct Traits;
+  ColdReport()
+      : upstream_(0),
+        incarnation_(0),
+        remaining_us_(0) {
+  }
+  ColdReport(uint64_t _upstream, uint64_t _incarnation, uint64_t _remaining_us)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        incarnation_(flatbuffers::EndianScalar(_incarnation)),
+        remaining_us_(flatbuffers::EndianScalar(_remaining_us)) {
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint64_t incarnation() const {
+    return flatbuffers::EndianScalar(incarnation_);
+  }
+  uint64_t remaining_us() const {
+    return flatbuffers::EndianScalar(remaining_us_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ColdReport, 24);
+
+struct ColdReport::Traits {
+  using type = ColdReport;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) DepartureReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint64_t incarnation_;
+
+ public:
+  struct Traits;
+  DepartureReport()
+      : upstream_(0),
+        incarnation_(0) {
+  }
+  DepartureReport(uint64_t _upstream, uint64_t _incarnation)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        incarnation_(flatbuffers::EndianScalar(_incarnation)) {
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint64_t incarnation() const {
+    return flatbuffers::EndianScalar(incarnation_);
+  }
+};
+FLATBUFFERS_STRUCT_END(DepartureReport, 16);
+
+struct DepartureReport::Traits {
+  using type = DepartureReport;
+};
+
 struct ServiceOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceOfferBuilder Builder;
   struct Traits;
@@ -512,7 +578,10 @@
     VT_CRASHES = 14,
     VT_CLEARANCES = 16,
     VT_POISON = 18,
-    VT_LIMITS = 20
+    VT_LIMITS = 20,
+    VT_COLD = 22,
+    VT_DEPARTURES = 24,
+    VT_STORE_IN_CONTACT = 26
   };
   const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *shares() const {
     return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::UpstreamShare *> *>(VT_SHARES);
@@ -541,6 +610,15 @@
   const flatbuffers::Vector<const mimosagauge::wire::LimitReport *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::LimitReport *> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<const mimosagauge::wire::ColdReport *> *cold() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::ColdReport *> *>(VT_COLD);
+  }
+  const flatbuffers::Vector<const mimosagauge::wire::DepartureReport *> *departures() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::DepartureReport *> *>(VT_DEPARTURES);
+  }
+  bool store_in_contact() const {
+    return GetField<uint8_t>(VT_STORE_IN_CONTACT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARES) &&
@@ -562,6 +640,11 @@
            verifier.VerifyVector(poison()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_COLD) &&
+           verifier.VerifyVector(cold()) &&
+           VerifyOffset(verifier, VT_DEPARTURES) &&
+           verifier.VerifyVector(departures()) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_IN_CONTACT, 1) &&
            verifier.EndTable();
   }
 };
@@ -597,6 +680,15 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::LimitReport *>> limits) {
     fbb_.AddOffset(LoadDigest::VT_LIMITS, limits);
   }
+  void add_cold(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::ColdReport *>> cold) {
+    fbb_.AddOffset(LoadDigest::VT_COLD, cold);
+  }
+  void add_departures(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::DepartureReport *>> departures) {
+    fbb_.AddOffset(LoadDigest::VT_DEPARTURES, departures);
+  }
+  void add_store_in_contact(bool store_in_contact) {
+    fbb_.AddElement<uint8_t>(LoadDigest::VT_STORE_IN_CONTACT, static_cast<uint8_t>(store_in_contact), 0);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -618,9 +710,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::Clearance *>> clearances = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PoisonReport *>> poison = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::LimitReport *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::LimitReport *>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::ColdReport *>> cold = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::DepartureReport *>> departures = 0,
+    bool store_in_contact = false) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_store_seen(store_seen);
+  builder_.add_departures(departures);
+  builder_.add_cold(cold);
   builder_.add_limits(limits);
   builder_.add_poison(poison);
   builder_.add_clearances(clearances);
@@ -629,6 +726,7 @@
   builder_.add_offers(offers);
   builder_.add_parts(parts);
   builder_.add_shares(shares);
+  builder_.add_store_in_contact(store_in_contact);
   return builder_.Finish();
 }
 
@@ -647,7 +745,10 @@
     const std::vector<flatbuffers::Offset<mimosagauge::wire::CrashReport>> *crashes = nullptr,
     const std::vector<mimosagauge::wire::Clearance> *clearances = nullptr,
     const std::vector<mimosagauge::wire::PoisonReport> *poison = nullptr,
-    const std::vector<mimosagauge::wire::LimitReport> *limits = nullptr) {
+    const std::vector<mimosagauge::wire::LimitReport> *limits = nullptr,
+    const std::vector<mimosagauge::wire::ColdReport> *cold = nullptr,
+    const std::vector<mimosagauge::wire::DepartureReport> *departures = nullptr,
+    bool store_in_contact = false) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<mimosagauge::wire::UpstreamShare>(*shares) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PartRead>(*parts) : 0;
   auto offers__ = offers ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::ServiceOffer>>(*offers) : 0;
@@ -656,6 +757,8 @@
   auto clearances__ = clearances ? _fbb.CreateVectorOfStructs<mimosagauge::wire::Clearance>(*clearances) : 0;
   auto poison__ = poison ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PoisonReport>(*poison) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<mimosagauge::wire::LimitReport>(*limits) : 0;
+  auto cold__ = cold ? _fbb.CreateVectorOfStructs<mimosagauge::wire::ColdReport>(*cold) : 0;
+  auto departures__ = departures ? _fbb.CreateVectorOfStructs<mimosagauge::wire::DepartureReport>(*departures) : 0;
   return mimosagauge::wire::CreateLoadDigest(
       _fbb,
       shares__,
@@ -666,7 +769,10 @@
       crashes__,
       clearances__,
       poison__,
-      limits__);
+      limits__,
+      cold__,
+      departures__,
+      store_in_contact);
 }
 
 inline const mimosagauge::wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -97,6 +97,8 @@
 void Handle(StepContext& context, RequestAbandoned&& event) {
   RequestRecord* record = FindRequest(context.gateway, event.number);
   if (record == nullptr) {
+    // The answer's end and the abandonment have crossed each other.
+    RemoveUnwritten(context.gateway.unwritten, {event.number, false});
     return;
   }
   if (!record->keyed) {
@@ -113,6 +115,12 @@
   record->unconsumed = Bytes{};
 }
 
+void Handle(StepContext& context, AnswersWritten&& event) {
+  for (const WrittenAnswer& written : event.answers) {
+    RemoveUnwritten(context.gateway.unwritten, written);
+  }
+}
+
 void Handle(StepContext& context, AnswerConsumed&& event) {
   RequestRecord* record = FindRequest(context.gateway, event.number);
   if (record == nullptr) {
--- a/src/decisions/gateway_drain.cc
+++ b/src/decisions/gateway_drain.cc
@@ -109,12 +109,17 @@
   if (!gateway.refusing_requests) {
     return;
   }
-  const bool in_time = gateway.requests.empty();
+  // An answer that has ended here may still wait for its receiver to read it.
+  const std::size_t unwritten = gateway.unwritten.unwritten.size();
+  const bool in_time = gateway.requests.empty() && unwritten == 0;
   if (!in_time && draining < gateway.config.limits.drain) {
     return;
   }
   if (!in_time) {
-    context.effects.emplace_back(WriteLog{log_events::kDrainTimeout, {}});
+    context.effects.emplace_back(
+        WriteLog{log_events::kDrainTimeout,
+                 {{"in_progress", std::to_string(gateway.requests.size())},
+                  {"unwritten", std::to_string(unwritten)}}});
     RefuseRemaining(context);
   }
   gateway.finished = true;
--- a/src/decisions/gateway_metrics.cc
+++ b/src/decisions/gateway_metrics.cc
@@ -79,6 +79,15 @@
   }
 }
 
+void AppendValue(std::string& text, std::string_view name,
+                 std::string_view type, std::string_view help,
+                 std::uint64_t value) {
+  fmt::format_to(std::back_inserter(text),
+                 "# HELP mimosagauge_{0} {1}\n# TYPE mimosagauge_{0} {2}\n"
+                 "mimosagauge_{0} {3}\n",
+                 name, help, type, value);
+}
+
 }  // namespace
 
 TimeSummary::TimeSummary()
@@ -120,6 +129,14 @@
       "# TYPE mimosagauge_discarded_total counter\n";
   fmt::format_to(std::back_inserter(text), "mimosagauge_discarded_total {}\n",
                  metrics.discarded);
+  AppendValue(text, "in_progress", "gauge",
+              "Requests whose answer is not complete.", metrics.in_progress);
+  AppendValue(text, "unwritten", "gauge",
+              "Complete answers that their receivers have not taken yet.",
+              metrics.unwritten);
+  AppendValue(text, "unwritten_cut_total", "counter",
+              "Complete answers whose receiver disconnected before their end.",
+              metrics.cut);
   return text;
 }
 
--- a/src/decisions/gateway_view.cc
+++ b/src/decisions/gateway_view.cc
@@ -111,6 +111,9 @@
   gateway.last_view_at = context.now;
   if (first || context.now - gateway.metrics_text_at >= kMetricsInterval) {
     gateway.metrics_text_at = context.now;
+    gateway.metrics.in_progress = gateway.requests.size();
+    gateway.metrics.unwritten = gateway.unwritten.unwritten.size();
+    gateway.metrics.cut = gateway.unwritten.cut;
     gateway.metrics_text = PrometheusText(gateway.metrics);
   }
   auto view = std::make_shared<const InstanceView>(View(gateway, context.now));
@@ -124,6 +127,8 @@
   InstanceView view;
   view.draining = gateway.drain_started.has_value();
   view.ready = detail::HasRoutingRules(gateway) && !view.draining;
+  view.in_progress = gateway.requests.size();
+  view.unwritten = gateway.unwritten.unwritten.size();
   view.catalogue = gateway.catalogue;
   view.rules = gateway.rules;
   if (!gateway.config.ticket_secrets.empty() && !view.draining) {
--- a/src/duties/callers/entry_document.cc
+++ b/src/duties/callers/entry_document.cc
@@ -2,6 +2,8 @@
 
 #include "mimosagauge/impl/duties/callers/entry_document.h"
 
+#include <fmt/format.h>
+
 #include <chrono>
 #include <nlohmann/json.hpp>
 
@@ -15,7 +17,9 @@
 
 [[nodiscard]] LocalAnswer ReadinessAnswer(const InstanceView& view) {
   if (view.draining) {
-    return {status::kServiceUnavailable, kPlainTextType, "draining\n"};
+    return {status::kServiceUnavailable, kPlainTextType,
+            fmt::format("draining: {} in progress, {} unwritten\n",
+                        view.in_progress, view.unwritten)};
   }
   if (!view.ready) {
     return {status::kServiceUnavailable, kPlainTextType, "not ready\n"};
--- a/src/duties/callers/server.cc
+++ b/src/duties/callers/server.cc
@@ -261,6 +261,18 @@
   decisions_.Post(AnswerConsumed{number, Bytes{bytes}});
 }
 
+// Answers that are written in one turn of the event loop share an event.
+void CallerServer::ReportAnswerWritten(const WrittenAnswer& written) {
+  if (written_answers_.empty()) {
+    asio::post(io_, [this] { PostWrittenAnswers(); });
+  }
+  written_answers_.push_back(written);
+}
+
+void CallerServer::PostWrittenAnswers() {
+  decisions_.Post(AnswersWritten{std::exchange(written_answers_, {})});
+}
+
 void CallerServer::RemoveConnection(
     const std::shared_ptr<CallerConnection>& connection) {
   connections_.erase(connection);
@@ -341,6 +353,8 @@
   }
   stopped_ = true;
   sweep_timer_.cancel();
+  // What the decisions refused at the end of the shutdown.
+  FlushScheduled();
   const auto open = std::exchange(connections_, {});
   for (const auto& connection : open) {
     connection->Close();
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -331,6 +331,10 @@
           // An instance reads its own settings only at its start; everything
           // else is read from the store.
           Log(log_events::kSettingsKept);
+        } else if (draining_ && signal == SIGTERM) {
+          // The sender may repeat its request to stop, which is carried out
+          // already; only a person at a terminal asks to cut it short.
+          Log(log_events::kStopRepeated);
         } else if (std::exchange(draining_, true)) {
           main_loop_.stop();
           return;
--- a/src/duties/links/connection.cc
+++ b/src/duties/links/connection.cc
@@ -371,8 +371,18 @@
           self->Close(self->close_reason_, self->close_error_);
           return;
         }
+        self->ReportWrittenStreams();
         self->Write();
       });
 }
 
+// Frames are taken from the queue only while no write is in progress, so at the
+// end of a write all frames taken have been written.
+void LinkConnection::ReportWrittenStreams() {
+  const std::vector<StreamNumber> finished = queue_.TakeFinishedStreams();
+  if (!finished.empty() && callbacks_.on_streams_written) {
+    callbacks_.on_streams_written(finished);
+  }
+}
+
 }  // namespace mimosagauge
--- a/src/duties/links/queue.cc
+++ b/src/duties/links/queue.cc
@@ -61,9 +61,14 @@
   found->second.is_complete = true;
   if (found->second.entries.empty() && found->second.body == nullptr) {
     streams_.erase(found);
+    finished_streams_.push_back(stream);
   }
 }
 
+std::vector<StreamNumber> LinkQueue::TakeFinishedStreams() {
+  return std::exchange(finished_streams_, {});
+}
+
 bool LinkQueue::DropStream(StreamNumber stream) {
   const auto found = streams_.find(stream);
   if (found == streams_.end()) {
@@ -140,6 +145,7 @@
     if (stream.is_complete && stream.entries.empty() &&
         stream.body == nullptr) {
       streams_.erase(found);
+      finished_streams_.push_back(number);
       continue;
     }
     ScheduleStream(number, stream);
--- a/src/duties/links/server.cc
+++ b/src/duties/links/server.cc
@@ -1,4 +1,4 @@
-// Implementation of the accepting side of links.
+// The accepting side of links: its connections and the requests on them.
 
 #include "mimosagauge/impl/duties/links/server.h"
 
@@ -22,15 +22,6 @@
 /// Maximum total size, per link, of the request bodies that are not complete
 /// yet.
 constexpr Bytes kMaxPartialBytes = Kibibytes(64UL * 1024);
-/// Answer bodies are split into frames of this many body bytes, except a part
-/// that names its last event, because it must hold whole events.
-constexpr std::size_t kAnswerChunkBytes = 64UL * 1024;
-/// Maximum size of a part that names its last event.
-constexpr std::size_t kMaxEventChunkBytes = 224UL * 1024;
-constexpr std::size_t kMaxEventIdBytes = 4UL * 1024;
-/// When a problem does not fit into a frame, each of its texts is truncated to
-/// this size.
-constexpr std::size_t kMaxProblemTextBytes = 512;
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 /// Maximum log entries per second about connections to the peer port that did
 /// not complete the greeting.
@@ -86,30 +77,6 @@
   return problem;
 }
 
-[[nodiscard]] Problem AnswerHeadTooLargeProblem() {
-  Problem problem;
-  problem.status = 502;
-  problem.type = "answer-too-large";
-  problem.title = "The answer's header fields are too large";
-  problem.detail = "they do not fit into one link frame";
-  problem.remedy = "configure the upstream to send smaller header fields";
-  problem.run = RunState::kRan;
-  return problem;
-}
-
-[[nodiscard]] bool FitsOneFrame(const SendAnswerBody& body) {
-  return body.data.size() <= kMaxEventChunkBytes &&
-         body.last_event_id->size() <= kMaxEventIdBytes;
-}
-
-[[nodiscard]] Problem WithTruncatedTexts(Problem problem) {
-  for (std::string* text :
-       {&problem.type, &problem.title, &problem.detail, &problem.remedy}) {
-    text->resize(std::min(text->size(), kMaxProblemTextBytes));
-  }
-  return problem;
-}
-
 [[nodiscard]] Error ListenError(const Endpoint& endpoint,
                                 const boost::system::error_code& error) {
   return Error{ErrorKind::kUnavailable,
@@ -228,6 +195,9 @@
        },
        [this, weak](LinkCloseReason close_reason, const Error& close_error) {
          OnClosed(weak.lock(), close_reason, close_error);
+       },
+       [this, weak](const std::vector<StreamNumber>& streams) {
+         OnStreamsWritten(weak.lock(), streams);
        }});
 }
 
@@ -274,6 +244,14 @@
     decisions_.Post(RequestAbandoned{number});
   }
   link->request_numbers.clear();
+  AnswersWritten lost;
+  for (const auto& [stream, number] : link->unwritten_answers) {
+    lost.answers.push_back({number, false});
+  }
+  link->unwritten_answers.clear();
+  if (!lost.answers.empty()) {
+    decisions_.Post(std::move(lost));
+  }
   links_.erase(connection.get());
 }
 
@@ -410,6 +388,13 @@
     link->partial_requests.erase(partial);
     return;
   }
+  const auto unwritten = link->unwritten_answers.find(cancel.stream);
+  if (unwritten != link->unwritten_answers.end()) {
+    link->connection->queue().DropStream(cancel.stream);
+    decisions_.Post(AnswersWritten{{{unwritten->second, false}}});
+    link->unwritten_answers.erase(unwritten);
+    return;
+  }
   const auto found = link->request_numbers.find(cancel.stream);
   if (found == link->request_numbers.end()) {
     ++counters_.late_frames;
@@ -459,113 +444,6 @@
       *link, "received a message that only the accepting side may send");
 }
 
-// --- answers ----------------------------------------------------------------
-
-LinkServer::ActiveRequest* LinkServer::FindActiveRequest(RequestNumber number) {
-  const auto found = active_requests_.find(number);
-  return found == active_requests_.end() ? nullptr : &found->second;
-}
-
-void LinkServer::FinishRequest(RequestNumber number) {
-  const auto found = active_requests_.find(number);
-  const LinkPtr link = found->second.link;
-  const StreamNumber stream = found->second.stream;
-  link->connection->queue().FinishStream(stream);
-  link->request_numbers.erase(stream);
-  active_requests_.erase(found);
-}
-
-Message LinkServer::MakeProblemMessage(const ActiveRequest& active_request,
-                                       const Problem& problem) {
-  if (active_request.head_sent) {
-    return AnswerAbortedMessage{active_request.stream, problem};
-  }
-  return ProblemMessage{active_request.stream, problem};
-}
-
-void LinkServer::AbortRequest(RequestNumber number,
-                              ActiveRequest& active_request, Problem problem) {
-  const StreamNumber stream = active_request.stream;
-  LinkConnection& connection = *active_request.link->connection;
-  if (!connection.SendOnStream(stream,
-                               MakeProblemMessage(active_request, problem))) {
-    const Problem truncated = WithTruncatedTexts(std::move(problem));
-    static_cast<void>(connection.SendOnStream(
-        stream, MakeProblemMessage(active_request, truncated)));
-  }
-  FinishRequest(number);
-}
-
-void LinkServer::Handle(SendAnswerHead&& answer) {
-  ActiveRequest* active_request = FindActiveRequest(answer.number);
-  if (active_request == nullptr) {
-    return;
-  }
-  const bool sent = active_request->link->connection->SendOnStream(
-      active_request->stream,
-      AnswerHeadMessage{active_request->stream, std::move(answer.head)});
-  if (!sent) {
-    AbortRequest(answer.number, *active_request, AnswerHeadTooLargeProblem());
-    decisions_.Post(RequestAbandoned{answer.number});
-    return;
-  }
-  active_request->head_sent = true;
-}
-
-void LinkServer::Handle(SendAnswerBody&& body) {
-  ActiveRequest* active_request = FindActiveRequest(body.number);
-  if (active_request == nullptr || body.data.empty()) {
-    return;
-  }
-  if (body.last_event_id && !FitsOneFrame(body)) {
-    // The parts of a split body need not hold whole events, so they carry no
-    // event id.
-    body.last_event_id = std::nullopt;
-  }
-  const std::size_t max_chunk_bytes =
-      body.last_event_id ? kMaxEventChunkBytes : kAnswerChunkBytes;
-  for (std::size_t offset = 0; offset < body.data.size();
-       offset += max_chunk_bytes) {
-    AnswerBodyMessage chunk;
-    chunk.stream = active_request->stream;
-    chunk.sequence = active_request->body_frames++;
-    chunk.data = body.data.substr(offset, max_chunk_bytes);
-    chunk.last_event_id = body.last_event_id;
-    const Bytes size{chunk.data.size()};
-    active_request->sent_bytes += size;
-    // The message always fits into a frame: `FitsOneFrame` and the chunk size
-    // leave room for the other fields.
-    static_cast<void>(active_request->link->connection->SendOnStream(
-        active_request->stream, std::move(chunk), size));
-  }
-}
-
-void LinkServer::Handle(const SendAnswerEnd& end) {
-  ActiveRequest* active_request = FindActiveRequest(end.number);
-  if (active_request == nullptr) {
-    return;
-  }
-  static_cast<void>(active_request->link->connection->SendOnStream(
-      active_request->stream,
-      AnswerEndMessage{active_request->stream, active_request->sent_bytes,
-                       active_request->body_frames}));
-  FinishRequest(end.number);
-}
-
-void LinkServer::Handle(AbortAnswer&& abort) {
-  ActiveRequest* active_request = FindActiveRequest(abort.number);
-  if (active_request != nullptr) {
-    AbortRequest(abort.number, *active_request, std::move(abort.problem));
-  }
-}
-
-void LinkServer::Handle(SendProblem&& answer) {
-  ActiveRequest* active_request = FindActiveRequest(answer.number);
-  if (active_request != nullptr) {
-    AbortRequest(answer.number, *active_request, std::move(answer.problem));
-  }
-}
-
 std::uint64_t LinkServer::bytes_written() const noexcept {
   std::uint64_t bytes = 0;
   for (const auto& [connection, link] : links_) {
--- a/src/settings/settings_keys.cc
+++ b/src/settings/settings_keys.cc
@@ -132,7 +132,8 @@
      "until an upstream that says nothing is given up; once the answer is due, "
      "also one whose answer makes no progress (an event, or 1 KiB)"},
     {"limits.drain", "time", "30s",
-     "for requests in progress at a graceful shutdown"},
+     "for requests in progress at a graceful shutdown, and for their answers "
+     "until they are written"},
     {"limits.leave_notice", "time", "3s",
      "from the start of a graceful shutdown until callers are refused"},
     {"limits.connect", "time", "3s", "until a connection to an upstream is up"},
--- a/src/wire/load_codec.cc
+++ b/src/wire/load_codec.cc
@@ -136,6 +136,16 @@
                         report.requests_per_second.value_or(kNoLimit),
                         AgeToWire(report.age));
   }
+  std::vector<wire::ColdReport> cold;
+  for (const ColdReport& report : digest.cold) {
+    cold.emplace_back(report.upstream.value(), report.incarnation.value(),
+                      AgeToWire(report.remaining));
+  }
+  std::vector<wire::DepartureReport> departures;
+  for (const DepartureReport& report : digest.departures) {
+    departures.emplace_back(report.upstream.value(),
+                            report.incarnation.value());
+  }
   // Empty lists take no bytes.
   using Shares = Offset<flatbuffers::Vector<const wire::UpstreamShare*>>;
   using Parts = Offset<flatbuffers::Vector<const wire::PartRead*>>;
@@ -144,6 +154,8 @@
   using Crashes = Offset<flatbuffers::Vector<Offset<wire::CrashReport>>>;
   using Clearances = Offset<flatbuffers::Vector<const wire::Clearance*>>;
   using Limits = Offset<flatbuffers::Vector<const wire::LimitReport*>>;
+  using Cold = Offset<flatbuffers::Vector<const wire::ColdReport*>>;
+  using Departures = Offset<flatbuffers::Vector<const wire::DepartureReport*>>;
   using Poison = Offset<flatbuffers::Vector<const wire::PoisonReport*>>;
   const Shares share_list =
       shares.empty() ? Shares() : builder.CreateVectorOfStructs(shares);
@@ -162,9 +174,15 @@
       poison.empty() ? Poison() : builder.CreateVectorOfStructs(poison);
   const Limits limit_list =
       limits.empty() ? Limits() : builder.CreateVectorOfStructs(limits);
+  const Cold cold_list =
+      cold.empty() ? Cold() : builder.CreateVectorOfStructs(cold);
+  const Departures departure_list =
+      departures.empty() ? Departures()
+                         : builder.CreateVectorOfStructs(departures);
   builder.Finish(wire::CreateLoadDigest(
       builder, share_list, part_list, offer_list, digest.store_seen,
-      outcome_list, crash_list, clearance_list, poison_list, limit_list));
+      outcome_list, crash_list, clearance_list, poison_list, limit_list,
+      cold_list, departure_list, digest.store_in_contact));
   std::string bytes(kTagBytes, kLoadDigestTag);
   for (std::size_t i = 0; i < builder.GetSize(); ++i) {
     bytes += static_cast<char>(builder.GetBufferPointer()[i]);
@@ -225,6 +243,20 @@
                                AgeFromWire(report->age_us())});
     }
   }
+  if (table.cold() != nullptr) {
+    for (const wire::ColdReport* report : *table.cold()) {
+      digest.cold.push_back({UpstreamHash{report->upstream()},
+                             Incarnation{report->incarnation()},
+                             AgeFromWire(report->remaining_us())});
+    }
+  }
+  if (table.departures() != nullptr) {
+    for (const wire::DepartureReport* report : *table.departures()) {
+      digest.departures.push_back({UpstreamHash{report->upstream()},
+                                   Incarnation{report->incarnation()}});
+    }
+  }
+  digest.store_in_contact = table.store_in_contact();
   digest.poison = ReadPoisonNews(table);
   return digest;
 }
--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -74,6 +74,9 @@
       [&](const HttpReply& reply) {
         if (!told && !reply.body.empty()) {
           told = true;
+          // A second SIGTERM must not cut the stop short.
+          cluster.instance(0, 0).process->Signal(SIGTERM);
+          std::this_thread::sleep_for(std::chrono::milliseconds(50));
           cluster.instance(0, 0).process->Signal(SIGTERM);
         }
         return true;
--- a/tests/support/session.cc
+++ b/tests/support/session.cc
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "mimosagauge/impl/decisions/gateway_detail.h"
 #include "mimosagauge/impl/duties/common/hash.h"
 
 namespace mimosagauge::testing {
@@ -142,6 +143,27 @@
                     nested.effect);
 }
 
+// The request whose answer the effect ends, if any.
+[[nodiscard]] std::optional<RequestNumber> EndedAnswer(const Effect& effect) {
+  std::optional<RequestNumber> ended;
+  const auto look = [&ended](const auto& nested) {
+    std::visit(
+        [&ended](const auto& typed) {
+          using Typed = std::decay_t<decltype(typed)>;
+          if constexpr (detail::kEndsAnswer<Typed>) {
+            ended = typed.number;
+          }
+        },
+        nested.effect);
+  };
+  if (const auto* callers = std::get_if<ForCallers>(&effect)) {
+    look(*callers);
+  } else if (const auto* links = std::get_if<ForLinks>(&effect)) {
+    look(*links);
+  }
+  return ended;
+}
+
 }  // namespace
 
 std::string Describe(const Event& event) {
@@ -170,9 +192,24 @@
   for (const Effect& effect : effects) {
     Note("  < ", Describe(effect));
   }
+  AnswersWritten written;
+  for (const Effect& effect : effects) {
+    if (const auto number = EndedAnswer(effect)) {
+      written.answers.push_back({*number, true});
+    }
+  }
+  if (!written.answers.empty() && !holds_answers_) {
+    for (Effect& effect : Feed(std::move(written))) {
+      effects.push_back(std::move(effect));
+    }
+  }
   return effects;
 }
 
+void Session::Written(RequestNumber number, bool whole) {
+  Feed(AnswersWritten{{{number, whole}}});
+}
+
 std::vector<Effect> Session::Rules(std::string_view text,
                                    std::uint64_t revision) {
   std::vector<RuleFault> faults;
--- a/tests/support/session.h
+++ b/tests/support/session.h
@@ -54,6 +54,10 @@
   [[nodiscard]] const std::string& text() const noexcept { return text_; }
   [[nodiscard]] Gateway& gateway() noexcept { return gateway_; }
   [[nodiscard]] TimePoint now() const noexcept { return now_; }
+  /// \brief Answers are reported as written only by `Written` from now on;
+  /// before, each one is at once.
+  void HoldAnswers() { holds_answers_ = true; }
+  void Written(RequestNumber number, bool whole = true);
 
  private:
   void Note(std::string_view mark, const std::string& line);
@@ -63,6 +67,7 @@
   std::uint64_t next_caller_ = 2;
   std::uint64_t next_link_ = 1;
   std::string text_;
+  bool holds_answers_ = false;
 };
 
 /// \returns A request head made from `text`, entered in `region`.
