Keep the bound of cold upstreams without the store

Change: digests carry cold periods (at most 16 of 24 bytes, each once per second, by three instances, 20 ms after a change). While no instance in reach is in contact with the store, the owner asks the health path of upstreams with coldPerS every 300 ms. An instance sends to a cold upstream only while its links reach more than half of its region. The used share of the cold rate is 0.75 instead of 0.8, so that two owners at once stay within 1.5 x coldPerS + 3 at every rate.

--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -3,6 +3,7 @@
 #ifndef MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
 #define MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
 
+#include <cstddef>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -200,6 +201,43 @@
 void ApplyLimitReports(StepContext& context, const InstanceId& from,
                        const std::vector<LimitReport>& reports);
 
+/// \brief The instances of this region that this one reaches over links.
+struct RegionReach {
+  std::size_t known = 1;    ///< Instances that may be running, with this one.
+  std::size_t reached = 1;  ///< Of those, the ones with a link, and this one.
+  /// Whether more than half are reached. With exactly half, it is the half with
+  /// the instance of the smallest name.
+  bool has_majority = true;
+};
+[[nodiscard]] RegionReach ReachOfRegion(const Gateway& gateway);
+
+/// \brief Applies what an upstream stated in a response, unless another process
+/// has taken its place since the request was sent.
+void ApplySignals(StepContext& context, const UpstreamId& id,
+                  const UpstreamStart& start, const UpstreamSignals& signals);
+
+/// \brief Limits the rate to an upstream whose process has ended, while its
+/// entry in the store cannot be read: its successor begins cold.
+void AssumeColdSuccessor(StepContext& context, const UpstreamId& id);
+
+/// \returns The start of the upstream's process as its record names it.
+[[nodiscard]] inline UpstreamStart StartOf(const UpstreamConfig& config) {
+  return {config.incarnation, config.endpoint};
+}
+
+/// \returns Cold periods that this instance has to report to the instances of
+/// its region, at most a few.
+[[nodiscard]] std::vector<ColdReport> TakeColdReports(Gateway& gateway,
+                                                      TimePoint now);
+
+/// \brief Applies what another instance of this region knows of upstreams.
+void ApplyFreshness(StepContext& context, const InstanceId& from,
+                    const LoadDigest& digest);
+
+/// \brief Sends the health requests that are due: while neither this instance
+/// nor another one that it reaches is in contact with the store.
+void SendHealthRequests(StepContext& context);
+
 /// \brief Refuses the request, or aborts its answer, if it has poison content.
 /// \returns Whether it was refused; the record is then no longer valid.
 bool RefuseIfPoison(StepContext& context, RequestRecord& record);
--- a/include/mimosagauge/impl/decisions/gateway_metrics.h
+++ b/include/mimosagauge/impl/decisions/gateway_metrics.h
@@ -69,8 +69,9 @@
                                 ///< already ended.
   std::size_t in_progress = 0;  ///< Requests whose answer is not complete.
   std::size_t unwritten = 0;    ///< Complete answers that are not written yet.
-  std::uint64_t cut = 0;        ///< Complete answers whose receiver
-                                ///< disconnected before they were written.
+  std::uint64_t health_requests = 0;  ///< Health requests to upstreams.
+  std::uint64_t cut = 0;              ///< Complete answers whose receiver
+                          ///< disconnected before they were written.
 };
 
 /// \returns The metrics in the Prometheus text format.
--- a/include/mimosagauge/impl/decisions/shared_rate.h
+++ b/include/mimosagauge/impl/decisions/shared_rate.h
@@ -24,15 +24,26 @@
 /// \brief Rate limits of one upstream, and the token bucket of the requests
 /// that this instance may send to it while a limit applies.
 struct SharedRate {
-  TimePoint cold_until{};  ///< End of the cold period.
-  double cold_rate = 0;    ///< Requests per second that the cold upstream can
-                           ///< handle; zero means that it is not limited.
+  TimePoint cold_until{};  ///< End of the cold period, with a margin.
+  /// End of the cold period as the upstream or the store stated it to this
+  /// instance; zero if only another instance reported it. It is what this
+  /// instance reports to the others, so that no report travels in a circle.
+  TimePoint cold_stated_until{};
+  double cold_rate = 0;  ///< Requests per second that the cold upstream can
+                         ///< handle; zero means that it is not limited.
   NamedLimit named;
   bool owned = false;  ///< Whether this instance is the one that sends
                        ///< requests to the upstream while a limit applies.
-  double tokens = 0;   ///< Requests that may be sent at `last_refill_at`; at
-                       ///< most `kBurst`. Negative after requests that were
-                       ///< sent without a token.
+  /// Whether this instance's links reach more than half of the instances of its
+  /// region. While it is false, the instance does not use the rate of a cold
+  /// upstream, because an instance on the other side may be its owner too.
+  bool has_majority = true;
+  bool reports_cold = false;     ///< Whether this instance is one of those that
+                                 ///< report the upstream's cold period.
+  TimePoint next_cold_report{};  ///< When it is reported again.
+  double tokens = 0;  ///< Requests that may be sent at `last_refill_at`; at
+                      ///< most `kBurst`. Negative after requests that were
+                      ///< sent without a token.
   TimePoint last_refill_at{};  ///< Time at which `tokens` was last updated.
   /// How long a named limit stays unconfirmed until this instance may send a
   /// request although it is not the owner. It differs between instances, so
@@ -46,6 +57,10 @@
   /// Fraction of the rate that is used. The rest is a reserve because requests
   /// bunch up in transit.
   static constexpr double kUsedRateFraction = 0.8;
+  /// The same for a cold upstream. Two instances that both act as owner then
+  /// send 2 * (kBurst + 0.75 * rate) in one second, which is within the bound
+  /// of 1.5 * rate + 3 for every rate.
+  static constexpr double kUsedColdFraction = 0.75;
 };
 
 /// \brief Records an upstream's report of the time that its cold period still
@@ -53,6 +68,14 @@
 /// never moves to an earlier time.
 void ExtendColdPeriod(SharedRate& rate, Duration remaining, TimePoint now);
 
+/// \brief The same for a report that came to this instance from the upstream or
+/// from the store, which it passes on to other instances.
+/// \returns Whether the upstream was not known to be cold until then.
+bool RecordColdStatement(SharedRate& rate, Duration remaining, TimePoint now);
+
+/// \returns Whether the upstream is cold and its rate therefore limited.
+[[nodiscard]] bool IsCold(const SharedRate& rate, TimePoint now) noexcept;
+
 /// \brief Records the limit of an answer, unless a later answer is known.
 /// \returns Whether the limit changed.
 bool RecordNamedLimit(SharedRate& rate, const NamedLimit& named, TimePoint now);
--- a/include/mimosagauge/impl/duties/upstreams/attempt.h
+++ b/include/mimosagauge/impl/duties/upstreams/attempt.h
@@ -102,6 +102,7 @@
   // the answer; none if it announced no time.
   std::optional<Duration> idle_timeout_;
   std::optional<double> rate_limit_;  // Named in the head of the answer.
+  UpstreamSignals signals_;           // Likewise.
   int interim_answers_ = 0;           // Number of answers with a 1xx status.
   Phase phase_ = Phase::kConnecting;
   bool write_started_ = false;      // Bytes may have been passed to the kernel.
--- a/include/mimosagauge/impl/duties/upstreams/dialect.h
+++ b/include/mimosagauge/impl/duties/upstreams/dialect.h
@@ -10,6 +10,7 @@
 
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/engine_load.h"
+#include "mimosagauge/impl/decisions/freshness/upstream_signals.h"
 #include "mimosagauge/impl/settings/settings.h"
 
 namespace mimosagauge {
@@ -31,6 +32,8 @@
   /// Time after which the upstream closes an idle connection; none if it is not
   /// announced.
   std::optional<Duration> idle_timeout;
+  /// What the upstream states about itself, also in an answer with a fault.
+  UpstreamSignals signals;
 };
 
 /// \brief The functions and rules for the protocol between an instance and its
@@ -51,6 +54,14 @@
   /// A body without a length is complete when the upstream closes the
   /// connection.
   bool allows_close_delimited_bodies = false;
+  /// \returns The complete header of a health request; null if the dialect has
+  /// none.
+  std::string (*format_health)(const std::string& path,
+                               const UpstreamSettings& upstream) = nullptr;
+  /// \returns What the response to a health request states; empty if it is not
+  /// the upstream's. Not null if `format_health` is not.
+  std::optional<UpstreamSignals> (*read_health)(
+      const boost::beast::http::response_header<>& head) = nullptr;
 };
 
 /// \returns The default interface of the product, without a platform adapter.
--- a/include/mimosagauge/impl/duties/upstreams/server.h
+++ b/include/mimosagauge/impl/duties/upstreams/server.h
@@ -44,6 +44,7 @@
 
  private:
   void StartAttempt(StartUpstreamAttempt&& start);
+  void SendHealthRequest(RequestHealth&& request);
   void UpdatePool(const AddUpstream& use);
   void Sweep();
 
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -191,6 +191,7 @@
   // wait for any service are tried again on each tick.
   context.gateway.all_services_freed = true;
   SearchForPoison(context);
+  SendHealthRequests(context);
   Apply(context, RemoveExpiredKeys(context.gateway.keys, context.now));
   Apply(context, TickClaims(context.gateway.claims, context.now));
   Apply(context, TickRulesGossip(context.gateway.spread, context.now));
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -274,6 +274,7 @@
   UpdateUpstreamLoad(context, *record, event.load);
   if (const auto* id = std::get_if<UpstreamId>(&record->running->target)) {
     RecordRateLimit(context, *id, event.rate_limit);
+    ApplySignals(context, *id, record->running->start, event.signals);
   }
   if (record->outcome.phase == AnswerPhase::kAnswering) {
     const bool continued = record->resuming && event.head.status == kOk &&
@@ -384,7 +385,12 @@
   record->last_failure = event.error.message;
   const bool suspected = CheckForCrash(context, *record, event);
   CountRun(*record, event.run);
+  const UpstreamStart start = record->running->start;
   FinishAttempt(context, *record, [&](const UpstreamId& id) {
+    ApplySignals(context, id, start, event.signals);
+    if (event.connection_refused) {
+      AssumeColdSuccessor(context, id);
+    }
     if (event.rate_limit) {
       RecordRateLimit(context, id, event.rate_limit);
     }
--- a/src/decisions/gateway_freshness.cc
+++ b/src/decisions/gateway_freshness.cc
@@ -1,12 +1,197 @@
 // Gateway state machine: what upstreams state about themselves in their
 // responses, and which instance asks them while the store is unavailable.
 
+#include <algorithm>
+#include <utility>
+
 #include "mimosagauge/impl/decisions/gateway_detail.h"
 
 namespace mimosagauge::detail {
+namespace {
+
+// Time until a new statement is sent to the other instances.
+constexpr Duration kReportDelay = std::chrono::milliseconds(20);
+// A report is repeated at this interval, since a digest may be lost.
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+// Most reports of a kind in one digest: 24 bytes each, so that the digests stay
+// within their share of the control traffic when a whole region is cold.
+constexpr std::size_t kMaxReports = 16;
+// Interval of the health requests to one upstream, over all instances of a
+// region without a partition. An upstream that turns cold unnoticed gets its
+// usual requests for at most this long.
+constexpr Duration kHealthInterval = std::chrono::milliseconds(300);
+// A digest that states contact with the store is valid for this time; the
+// longest regular interval between digests of 71 instances is 1.75 s.
+constexpr Duration kPeerContactTime = std::chrono::seconds(3);
+
+void ExpediteDigest(StepContext& context) {
+  context.gateway.next_digest_at =
+      std::min(context.gateway.next_digest_at, context.now + kReportDelay);
+}
+
+void LogCold(StepContext& context, const UpstreamState& upstream,
+             Duration remaining, const std::string& reported_by) {
+  context.effects.emplace_back(
+      WriteLog{log_events::kUpstreamCold,
+               {{"upstream", upstream.config.id.value()},
+                {"for_ms", Milliseconds(remaining)},
+                {"owned", upstream.rate.owned ? "yes" : "no"},
+                {"told_by", reported_by}}});
+}
+
+void RecordCold(StepContext& context, UpstreamState& upstream,
+                Duration remaining) {
+  if (upstream.rate.cold_rate > 0 &&
+      RecordColdStatement(upstream.rate, remaining, context.now)) {
+    LogCold(context, upstream, remaining,
+            context.gateway.config.instance.value());
+    ExpediteDigest(context);
+  }
+}
+
+// Whether this instance, or one that it has a link to, learns of changes from
+// the store.
+[[nodiscard]] bool HasStoreContact(const Gateway& gateway, TimePoint now) {
+  return gateway.freshness.store_in_contact ||
+         now < gateway.freshness.peer_in_contact_until;
+}
+
+// Returns the interval of this instance's health requests to the upstream;
+// empty if another instance sends them. In a partition each side has an owner
+// that asks; a side with less than a quarter of the instances asks less often,
+// so that all sides together send at most four times the rate of one.
+[[nodiscard]] std::optional<Duration> HealthInterval(
+    const Gateway& gateway, const UpstreamState& upstream) {
+  if (!upstream.rate.owned) {
+    return std::nullopt;
+  }
+  const RegionReach reach = ReachOfRegion(gateway);
+  const auto known = static_cast<Duration::rep>(reach.known);
+  const auto reached = static_cast<Duration::rep>(reach.reached);
+  constexpr Duration::rep kFullRateSides = 4;
+  return std::max(kHealthInterval,
+                  kHealthInterval * known / (kFullRateSides * reached));
+}
+
+// Returns the path for health requests to the upstream; empty if its state
+// need not be asked for, or must not.
+[[nodiscard]] std::string HealthPath(const Gateway& gateway,
+                                     const UpstreamState& upstream,
+                                     TimePoint now) {
+  const ServiceProfile* profile =
+      FindService(*gateway.catalogue, upstream.config.service);
+  const bool wanted = profile != nullptr && profile->cold_rate > 0 &&
+                      !upstream.leaving && !upstream.evacuated &&
+                      IsEligible(upstream.health, now) &&
+                      !IsRateLimited(upstream.rate, now);
+  return wanted ? profile->health_path : std::string();
+}
+
+}  // namespace
+
+void ApplySignals(StepContext& context, const UpstreamId& id,
+                  const UpstreamStart& start, const UpstreamSignals& signals) {
+  UpstreamState* upstream = FindUpstream(context.gateway.upstreams, id);
+  if (upstream == nullptr || StartOf(upstream->config) != start) {
+    return;
+  }
+  if (signals.cold) {
+    RecordCold(context, *upstream, *signals.cold);
+  }
+}
+
+void AssumeColdSuccessor(StepContext& context, const UpstreamId& id) {
+  Gateway& gateway = context.gateway;
+  UpstreamState* upstream = FindUpstream(gateway.upstreams, id);
+  if (upstream == nullptr || gateway.catalogue == nullptr ||
+      gateway.freshness.store_in_contact) {
+    return;
+  }
+  const ServiceProfile* profile =
+      FindService(*gateway.catalogue, upstream->config.service);
+  if (profile != nullptr) {
+    RecordCold(context, *upstream, profile->cold);
+  }
+}
+
+std::vector<ColdReport> TakeColdReports(Gateway& gateway, TimePoint now) {
+  std::vector<ColdReport> reports;
+  for (UpstreamState& upstream : gateway.upstreams.upstreams) {
+    SharedRate& rate = upstream.rate;
+    const bool due = rate.reports_cold && rate.cold_rate > 0 &&
+                     rate.cold_stated_until > now &&
+                     rate.next_cold_report <= now;
+    if (due && reports.size() < kMaxReports) {
+      reports.push_back({HashUpstreamId(upstream.config.id),
+                         upstream.config.incarnation,
+                         rate.cold_stated_until - now});
+      rate.next_cold_report = now + kReportInterval;
+    }
+  }
+  return reports;
+}
+
+void ApplyFreshness(StepContext& context, const InstanceId& from,
+                    const LoadDigest& digest) {
+  Gateway& gateway = context.gateway;
+  if (digest.store_in_contact) {
+    gateway.freshness.peer_in_contact_until = context.now + kPeerContactTime;
+  }
+  for (const ColdReport& report : digest.cold) {
+    UpstreamState* upstream = FindUpstream(gateway.upstreams, report.upstream);
+    // A report of a newer process is valid for the address as well: the older
+    // one, which is known here, has ended.
+    if (upstream == nullptr || upstream->rate.cold_rate <= 0 ||
+        report.incarnation < upstream->config.incarnation) {
+      continue;
+    }
+    if (!IsCold(upstream->rate, context.now)) {
+      LogCold(context, *upstream, report.remaining, from.value());
+    }
+    ExtendColdPeriod(upstream->rate, report.remaining, context.now);
+  }
+}
+
+void SendHealthRequests(StepContext& context) {
+  Gateway& gateway = context.gateway;
+  if (gateway.catalogue == nullptr || gateway.drain_started ||
+      HasStoreContact(gateway, context.now)) {
+    return;
+  }
+  for (const UpstreamState& upstream : gateway.upstreams.upstreams) {
+    const std::optional<Duration> interval = HealthInterval(gateway, upstream);
+    std::string path =
+        interval ? HealthPath(gateway, upstream, context.now) : std::string();
+    if (path.empty()) {
+      continue;
+    }
+    TimePoint& next =
+        gateway.freshness.next_health[HashUpstreamId(upstream.config.id)];
+    if (next > context.now) {
+      continue;
+    }
+    next = context.now + *interval;
+    ++gateway.freshness.health_requests;
+    context.effects.emplace_back(ForUpstreams{RequestHealth{
+        upstream.config.id, StartOf(upstream.config), std::move(path)}});
+  }
+}
 
-void Handle(StepContext& /*context*/, UpstreamHealthReceived&& /*event*/) {}
+void Handle(StepContext& context, UpstreamHealthReceived&& event) {
+  ApplySignals(context, event.upstream, event.start, event.signals);
+}
 
-void Handle(StepContext& /*context*/, StoreContactChanged&& /*event*/) {}
+void Handle(StepContext& context, StoreContactChanged&& event) {
+  Freshness& freshness = context.gateway.freshness;
+  if (freshness.store_in_contact == event.in_contact) {
+    return;
+  }
+  freshness.store_in_contact = event.in_contact;
+  // Upstreams that have gone are forgotten.
+  freshness.next_health.clear();
+  context.effects.emplace_back(
+      WriteLog{log_events::kSourceChanged,
+               {{"in_contact", event.in_contact ? "yes" : "no"}}});
+}
 
 }  // namespace mimosagauge::detail
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -44,6 +44,8 @@
   }
   digest.parts = std::exchange(gateway.parts_read, {});
   digest.limits = TakeLimitReports(gateway, now);
+  digest.cold = TakeColdReports(gateway, now);
+  digest.store_in_contact = gateway.freshness.store_in_contact;
   digest.poison = TakeNews(gateway.poison, gateway.poison.news_for_region, now);
   return digest;
 }
@@ -143,6 +145,7 @@
     }
   }
   ApplyLimitReports(context, from, digest.limits);
+  ApplyFreshness(context, from, digest);
   for (const PartRead& read : digest.parts) {
     UpstreamState* upstream = FindUpstream(gateway.upstreams, read.upstream);
     if (upstream != nullptr) {
--- a/src/decisions/gateway_metrics.cc
+++ b/src/decisions/gateway_metrics.cc
@@ -134,6 +134,9 @@
   AppendValue(text, "unwritten", "gauge",
               "Complete answers that their receivers have not taken yet.",
               metrics.unwritten);
+  AppendValue(text, "health_requests_total", "counter",
+              "Health requests to upstreams while the store was unavailable.",
+              metrics.health_requests);
   AppendValue(text, "unwritten_cut_total", "counter",
               "Complete answers whose receiver disconnected before their end.",
               metrics.cut);
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -77,6 +77,7 @@
   record.running->expected = choice.expected;
   record.running->prompt_tokens = choice.prompt_tokens;
   if (UpstreamState* upstream = FindUpstream(gateway.upstreams, id)) {
+    record.running->start = StartOf(upstream->config);
     RecordPromptSent(upstream->load, choice.prompt_tokens, context.now);
     ConsumeRequestToken(upstream->rate, context.now);
     if (upstream->kind == UpstreamKind::kEngine) {
--- a/src/decisions/gateway_view.cc
+++ b/src/decisions/gateway_view.cc
@@ -113,6 +113,7 @@
     gateway.metrics_text_at = context.now;
     gateway.metrics.in_progress = gateway.requests.size();
     gateway.metrics.unwritten = gateway.unwritten.unwritten.size();
+    gateway.metrics.health_requests = gateway.freshness.health_requests;
     gateway.metrics.cut = gateway.unwritten.cut;
     gateway.metrics_text = PrometheusText(gateway.metrics);
   }
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -61,9 +61,15 @@
   return terms;
 }
 
+// Number of instances that report an upstream's cold period to the others: the
+// owner and those that would be next, since some of them may be out of contact
+// with the store.
+constexpr std::size_t kColdReporters = 3;
+
 // Assigns each upstream to the instance of its region that sends it requests
 // while their rate is limited, by rendezvous hashing.
 void AssignUpstreamOwners(Gateway& gateway) {
+  const bool has_majority = ReachOfRegion(gateway).has_majority;
   std::vector<InstanceId> owners;
   if (!gateway.drain_started) {
     owners.push_back(gateway.config.instance);
@@ -76,8 +82,19 @@
   for (UpstreamState& upstream : gateway.upstreams.upstreams) {
     const std::uint64_t subject =
         RendezvousWeight(0, upstream.config.id.value());
-    upstream.rate.owned =
-        ChooseByRendezvous(subject, owners) == gateway.config.instance;
+    const auto preferred = [&](const InstanceId& a, const InstanceId& b) {
+      const std::uint64_t weight = RendezvousWeight(subject, a.value());
+      const std::uint64_t other = RendezvousWeight(subject, b.value());
+      return weight > other || (weight == other && a < b);
+    };
+    const auto rank = std::count_if(
+        owners.begin(), owners.end(), [&](const InstanceId& owner) {
+          return preferred(owner, gateway.config.instance);
+        });
+    upstream.rate.owned = !gateway.drain_started && rank == 0;
+    upstream.rate.has_majority = has_majority;
+    upstream.rate.reports_cold =
+        static_cast<std::size_t>(rank) < kColdReporters;
     upstream.rate.confirmation_timeout =
         kMinConfirmationTimeout +
         kMinConfirmationTimeout / kTimeoutSteps *
@@ -87,6 +104,21 @@
   }
 }
 
+// Time until a cold period that the store has just reported is sent to the
+// other instances.
+constexpr Duration kColdReportDelay = std::chrono::milliseconds(20);
+
+// Sends the next digest soon if it has a cold period to report that was not
+// known before: the regular interval is 1.75 s in a region of 71 instances.
+void ExpediteColdReport(StepContext& context, const UpstreamState& upstream) {
+  const SharedRate& rate = upstream.rate;
+  if (rate.reports_cold && rate.cold_stated_until > context.now &&
+      rate.next_cold_report == context.now) {
+    context.gateway.next_digest_at = std::min(context.gateway.next_digest_at,
+                                              context.now + kColdReportDelay);
+  }
+}
+
 void UpdateRetryShare(const Gateway& gateway, RetryBudget& budget) {
   // Instances whose links are down are counted too, because they may be using
   // their share of the budget.
@@ -109,6 +141,29 @@
 
 }  // namespace
 
+RegionReach ReachOfRegion(const Gateway& gateway) {
+  RegionReach reach;
+  bool reaches_first = true;
+  InstanceId first = gateway.config.instance;
+  for (const PeerState& peer : gateway.peers) {
+    // One that leaves owns nothing, and one whose registration and link have
+    // ended has stopped.
+    const bool has_left = !peer.up && (peer.leaving_since || !peer.listed);
+    if (!IsInOwnRegion(gateway, peer) || has_left) {
+      continue;
+    }
+    ++reach.known;
+    reach.reached += peer.up ? 1 : 0;
+    if (peer.config.id < first) {
+      first = peer.config.id;
+      reaches_first = peer.up;
+    }
+  }
+  reach.has_majority = 2 * reach.reached > reach.known ||
+                       (2 * reach.reached == reach.known && reaches_first);
+  return reach;
+}
+
 void MaintainLinks(StepContext& context) {
   Gateway& gateway = context.gateway;
   std::map<RegionId, std::vector<PeerState*>> remote_peers;
@@ -206,6 +261,10 @@
   }
   AddOrUpdateUpstream(context, record);
   AssignUpstreamOwners(gateway);
+  if (const UpstreamState* state =
+          FindUpstream(gateway.upstreams, record.config.id)) {
+    ExpediteColdReport(context, *state);
+  }
   if (log_change) {
     context.effects.emplace_back(
         WriteLog{log_events::kUpstreamLearned,
@@ -249,7 +308,8 @@
       const ServiceProfile* profile =
           FindService(*gateway.catalogue, upstream.config.service);
       if (upstream.config.zone == event.zone && profile != nullptr) {
-        ExtendColdPeriod(upstream.rate, profile->cold, context.now);
+        RecordColdStatement(upstream.rate, profile->cold, context.now);
+        ExpediteColdReport(context, upstream);
       }
     }
   }
--- a/src/decisions/shared_rate.cc
+++ b/src/decisions/shared_rate.cc
@@ -13,10 +13,6 @@
 // date when it arrives.
 constexpr Duration kReportDelayMargin = std::chrono::milliseconds(300);
 
-[[nodiscard]] bool IsCold(const SharedRate& rate, TimePoint now) noexcept {
-  return rate.cold_rate > 0 && now < rate.cold_until;
-}
-
 // An upstream that accepts no requests gets one at this rate, to learn when
 // that ends.
 constexpr double kMinRate = 1.0 / 60;
@@ -31,12 +27,18 @@
   return std::max(kMinRate, std::min(cold_rate, named_rate));
 }
 
+// Requests per second that this instance sends at most, if it may use the rate.
+[[nodiscard]] double UsedRate(const SharedRate& rate, TimePoint now) noexcept {
+  return CurrentRate(rate, now) * (IsCold(rate, now)
+                                       ? SharedRate::kUsedColdFraction
+                                       : SharedRate::kUsedRateFraction);
+}
+
 // Tokens available at `now`, including those added since the last refill.
 [[nodiscard]] double TokensAt(const SharedRate& rate, TimePoint now) noexcept {
   const std::chrono::duration<double> elapsed = now - rate.last_refill_at;
   return std::min(SharedRate::kBurst,
-                  rate.tokens + elapsed.count() * CurrentRate(rate, now) *
-                                    SharedRate::kUsedRateFraction);
+                  rate.tokens + elapsed.count() * UsedRate(rate, now));
 }
 
 // Fills the bucket when a limit begins to apply.
@@ -50,11 +52,16 @@
   const bool unconfirmed =
       rate.named.requests_per_second.has_value() &&
       now - rate.named.heard_at > rate.confirmation_timeout;
-  return rate.owned || unconfirmed;
+  const bool may_own = rate.owned && (rate.has_majority || !IsCold(rate, now));
+  return may_own || unconfirmed;
 }
 
 }  // namespace
 
+bool IsCold(const SharedRate& rate, TimePoint now) noexcept {
+  return rate.cold_rate > 0 && now < rate.cold_until;
+}
+
 void ExtendColdPeriod(SharedRate& rate, Duration remaining, TimePoint now) {
   if (remaining <= Duration::zero()) {
     return;
@@ -66,6 +73,19 @@
       std::max(rate.cold_until, now + remaining + kReportDelayMargin);
 }
 
+bool RecordColdStatement(SharedRate& rate, Duration remaining, TimePoint now) {
+  if (remaining <= Duration::zero()) {
+    return false;
+  }
+  const bool changed = !IsCold(rate, now);
+  ExtendColdPeriod(rate, remaining, now);
+  rate.cold_stated_until = std::max(rate.cold_stated_until, now + remaining);
+  if (changed) {
+    rate.next_cold_report = now;
+  }
+  return changed;
+}
+
 bool RecordNamedLimit(SharedRate& rate, const NamedLimit& named,
                       TimePoint now) {
   if (named.heard_at < rate.named.heard_at) {
@@ -96,9 +116,8 @@
                ? rate.cold_until - now
                : Duration::max();
   }
-  const std::chrono::duration<double> wait(
-      (1 - TokensAt(rate, now)) /
-      (CurrentRate(rate, now) * SharedRate::kUsedRateFraction));
+  const std::chrono::duration<double> wait((1 - TokensAt(rate, now)) /
+                                           UsedRate(rate, now));
   return std::chrono::duration_cast<Duration>(wait);
 }
 
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -374,6 +374,7 @@
     state->health = UpstreamHealth{};
     state->load = EngineLoad{};
     state->rate.named = {};
+    state->rate.cold_stated_until = {};
     Clear(state->cache);
   }
   state->config = record.config;
@@ -383,7 +384,7 @@
   state->copy_ms_per_token = terms.copy_ms_per_token;
   state->leaving = state->leaving || record.leaving;
   state->rate.cold_rate = terms.cold_rate;
-  ExtendColdPeriod(state->rate, record.cold_remaining, now);
+  RecordColdStatement(state->rate, record.cold_remaining, now);
   // Most records change only the state of an upstream, which needs no new
   // index.
   if (!index_unchanged) {
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -517,6 +517,7 @@
     return;
   }
   logged_reachable_ = answered;
+  decisions_.Post(StoreContactChanged{answered});
   if (answered) {
     Log(log_events::kStoreReachable);
   } else {
--- a/src/duties/upstreams/attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -334,6 +334,7 @@
   const AnswerHeadInfo info = server_.dialect().read_head(head, start_effect_);
   idle_timeout_ = info.idle_timeout;
   rate_limit_ = info.rate_limit;
+  signals_ = info.signals;
   if (info.misdirected) {
     misdirected_ = true;
     FailWithRunState(RunState::kNotRun, ErrorKind::kNotFound,
@@ -376,7 +377,7 @@
   RestartProgressPeriod();
   parser_->eager(true);
   server_.Post(AttemptHeadReceived{start_effect_.attempt, std::move(answer),
-                                   info.load, info.rate_limit});
+                                   info.load, info.rate_limit, info.signals});
   return true;
 }
 
@@ -428,7 +429,8 @@
                              std::nullopt,
                              misdirected_,
                              rate_limit_,
-                             connection_refused_});
+                             connection_refused_,
+                             signals_});
   Close();
 }
 
--- a/src/duties/upstreams/server.cc
+++ b/src/duties/upstreams/server.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "mimosagauge/impl/duties/upstreams/attempt.h"
+#include "mimosagauge/impl/duties/upstreams/health_request.h"
 
 namespace mimosagauge::detail {
 namespace {
@@ -65,6 +66,9 @@
     pools_.erase(drop->id);
     return;
   }
+  if (auto* health = std::get_if<RequestHealth>(&effect)) {
+    return SendHealthRequest(std::move(*health));
+  }
   const auto* credited = std::get_if<AddAttemptCredit>(&effect);
   const AttemptNumber number = credited != nullptr
                                    ? credited->attempt
@@ -99,6 +103,15 @@
   attempt->Start();
 }
 
+void UpstreamServer::SendHealthRequest(RequestHealth&& request) {
+  const auto pool = pools_.find(request.upstream);
+  if (pool == pools_.end() || dialect_.format_health == nullptr) {
+    return;
+  }
+  HealthRequest::Start(std::move(request), pool->second->settings(), io_,
+                       dialect_, decisions_);
+}
+
 // The idle connections are kept if the upstream has neither moved nor restarted
 // (same endpoint and incarnation); otherwise its pool is replaced.
 void UpstreamServer::UpdatePool(const AddUpstream& use) {
--- a/tests/support/fleet_gateway.cc
+++ b/tests/support/fleet_gateway.cc
@@ -66,6 +66,7 @@
   engines.id = ServiceId{"engines"};
   engines.cold = std::chrono::seconds(3);
   engines.cold_rate = 4.5;
+  engines.health_path = "/healthz";
   engines.engine = EngineProfile{kEngineSlots, 350000, 327680, {}};
   ServiceProfile desk;
   desk.id = ServiceId{"desk"};
