Stop using upstreams that state that they are leaving

`Server-Leaving: 1` in any response of an upstream, also of failures and health responses, takes it out of use at once. The state is bound to the process (incarnation and address), survives older store entries and the loss of the entry, and is told to the region for 5 s with the load digests.

--- a/include/mimosagauge/impl/decisions/freshness/freshness.h
+++ b/include/mimosagauge/impl/decisions/freshness/freshness.h
@@ -16,8 +16,9 @@
 /// \brief A start of an upstream's process that is known to be leaving.
 struct Departure {
   UpstreamStart start;
-  TimePoint heard_at{};    ///< When a response of it last stated that.
-  bool first_hand = true;  ///< The response came to this instance.
+  TimePoint heard_at{};        ///< When a response of it last stated that.
+  bool first_hand = true;      ///< The response came to this instance.
+  TimePoint next_report_at{};  ///< When it is reported to the others again.
 };
 
 /// \brief The sources of facts about upstreams, as this instance sees them.
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -230,6 +230,15 @@
 [[nodiscard]] std::vector<ColdReport> TakeColdReports(Gateway& gateway,
                                                       TimePoint now);
 
+/// \returns Departures that this instance has to report to the instances of its
+/// region, at most a few.
+[[nodiscard]] std::vector<DepartureReport> TakeDepartureReports(
+    Gateway& gateway, TimePoint now);
+
+/// \brief Keeps an upstream out of use that stated that it is leaving, whatever
+/// its entry in the store says; for another process the statement is dropped.
+void ApplyDeparture(Gateway& gateway, UpstreamState& upstream);
+
 /// \brief Applies what another instance of this region knows of upstreams.
 void ApplyFreshness(StepContext& context, const InstanceId& from,
                     const LoadDigest& digest);
--- a/src/decisions/gateway_freshness.cc
+++ b/src/decisions/gateway_freshness.cc
@@ -49,6 +49,41 @@
   }
 }
 
+// A departure is reported for this long after the last response that stated it.
+// The store states it too by then, to instances that start later.
+constexpr Duration kDepartureReportTime = std::chrono::seconds(5);
+// A departure of an upstream that is not registered any more is kept for this
+// long, in case its entry returns; a process does not take longer to end.
+constexpr Duration kDepartureTime = std::chrono::minutes(10);
+
+// Records that an upstream is leaving. Returns whether that is new.
+bool RecordDeparture(Gateway& gateway, UpstreamState& upstream, TimePoint now,
+                     bool first_hand) {
+  const UpstreamStart start = StartOf(upstream.config);
+  const auto [entry, created] = gateway.freshness.departures.try_emplace(
+      HashUpstreamId(upstream.config.id));
+  Departure& departure = entry->second;
+  const bool is_new = created || departure.start != start;
+  if (is_new) {
+    departure = Departure{start, now, first_hand, now};
+  }
+  if (first_hand) {
+    departure.first_hand = true;
+    departure.heard_at = now;
+  }
+  upstream.leaving = true;
+  return is_new;
+}
+
+void LogLeaving(StepContext& context, const UpstreamState& upstream,
+                const std::string& reported_by) {
+  context.effects.emplace_back(WriteLog{
+      log_events::kUpstreamLeaving,
+      {{"upstream", upstream.config.id.value()},
+       {"incarnation", std::to_string(upstream.config.incarnation.value())},
+       {"told_by", reported_by}}});
+}
+
 // Whether this instance, or one that it has a link to, learns of changes from
 // the store.
 [[nodiscard]] bool HasStoreContact(const Gateway& gateway, TimePoint now) {
@@ -98,6 +133,43 @@
   if (signals.cold) {
     RecordCold(context, *upstream, *signals.cold);
   }
+  if (signals.leaving &&
+      RecordDeparture(context.gateway, *upstream, context.now, true)) {
+    LogLeaving(context, *upstream, context.gateway.config.instance.value());
+    ExpediteDigest(context);
+  }
+}
+
+void ApplyDeparture(Gateway& gateway, UpstreamState& upstream) {
+  const auto found =
+      gateway.freshness.departures.find(HashUpstreamId(upstream.config.id));
+  if (found == gateway.freshness.departures.end()) {
+    return;
+  }
+  if (found->second.start == StartOf(upstream.config)) {
+    upstream.leaving = true;
+  } else {
+    gateway.freshness.departures.erase(found);
+  }
+}
+
+std::vector<DepartureReport> TakeDepartureReports(Gateway& gateway,
+                                                  TimePoint now) {
+  std::vector<DepartureReport> reports;
+  std::erase_if(gateway.freshness.departures, [&](const auto& entry) {
+    return now - entry.second.heard_at > kDepartureTime &&
+           FindUpstream(gateway.upstreams, entry.first) == nullptr;
+  });
+  for (auto& [upstream, departure] : gateway.freshness.departures) {
+    const bool due = departure.first_hand &&
+                     now - departure.heard_at <= kDepartureReportTime &&
+                     departure.next_report_at <= now;
+    if (due && reports.size() < kMaxReports) {
+      reports.push_back({upstream, departure.start.incarnation});
+      departure.next_report_at = now + kReportInterval;
+    }
+  }
+  return reports;
 }
 
 void AssumeColdSuccessor(StepContext& context, const UpstreamId& id) {
@@ -150,6 +222,16 @@
     }
     ExtendColdPeriod(upstream->rate, report.remaining, context.now);
   }
+  for (const DepartureReport& report : digest.departures) {
+    UpstreamState* upstream = FindUpstream(gateway.upstreams, report.upstream);
+    // The report of a process that is not known here yet, or not any more, is
+    // repeated while it is of use.
+    if (upstream != nullptr &&
+        upstream->config.incarnation == report.incarnation &&
+        RecordDeparture(gateway, *upstream, context.now, false)) {
+      LogLeaving(context, *upstream, from.value());
+    }
+  }
 }
 
 void SendHealthRequests(StepContext& context) {
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -45,6 +45,7 @@
   digest.parts = std::exchange(gateway.parts_read, {});
   digest.limits = TakeLimitReports(gateway, now);
   digest.cold = TakeColdReports(gateway, now);
+  digest.departures = TakeDepartureReports(gateway, now);
   digest.store_in_contact = gateway.freshness.store_in_contact;
   digest.poison = TakeNews(gateway.poison, gateway.poison.news_for_region, now);
   return digest;
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -134,6 +134,7 @@
   if (UpstreamState* state =
           FindUpstream(gateway.upstreams, record.config.id)) {
     state->evacuated = gateway.evacuated_zones.contains(record.config.zone);
+    ApplyDeparture(gateway, *state);
   }
   context.effects.emplace_back(
       ForUpstreams{AddUpstream{record.config, terms.kind}});
