Pause upstreams that answer 503 with Retry-After

A 503 with `Retry-After` (decimal seconds, 0 to 300) pauses the upstream for this instance: it gets no requests, it is not counted as failing, and not as capacity. With all upstreams of a service paused, requests wait if one is back within their time in the queue, else they are refused with the time until the first one is back. Negative, longer, repeated and other values are ignored with one log entry for each process.

The stand-in of the platform's fleet states both on command (SetLeaving, SetRetryAfter).

--- a/include/mimosagauge/impl/decisions/upstream_health.h
+++ b/include/mimosagauge/impl/decisions/upstream_health.h
@@ -10,6 +10,7 @@
 #ifndef MIMOSAGAUGE_IMPL_DECISIONS_UPSTREAM_HEALTH_H_
 #define MIMOSAGAUGE_IMPL_DECISIONS_UPSTREAM_HEALTH_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -43,6 +44,16 @@
   Duration rest{};
   /// End of that backoff; the upstream receives no new requests before it.
   TimePoint overload_backoff_until{};
+  /// End of the pause that the upstream asked for; it receives no requests
+  /// before it.
+  TimePoint paused_until{};
+  /// Whether an invalid pause of this process was logged.
+  bool invalid_pause_logged = false;
+
+  /// Longest pause that is accepted. A longer one is a planned removal, which
+  /// the upstream states as its leaving or in the store; after a wrong value
+  /// the service would miss the upstream for too long.
+  static constexpr Duration kMaxPause = std::chrono::minutes(5);
 };
 
 /// \brief How a request failed because of its upstream.
@@ -57,10 +68,14 @@
 };
 
 /// \returns Whether the upstream may receive new requests, that is, it is
-/// neither ejected nor in backoff.
+/// neither ejected nor in backoff nor paused.
 [[nodiscard]] bool IsEligible(const UpstreamHealth& health,
                               TimePoint now) noexcept;
 
+/// \brief Pauses the upstream; a pause never ends earlier than stated before.
+/// \returns Whether the pause is accepted: it is from zero to `kMaxPause`.
+bool Pause(UpstreamHealth& health, Duration pause, TimePoint now);
+
 /// \brief Counts a request that got a response from the upstream. Resets the
 /// consecutive failures and the backoff, and also the length of the next
 /// ejection unless the share of failures is too high.
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -180,13 +180,19 @@
 
 /// \returns Whether an upstream can serve the request now, or after its
 /// ejection, backoff or cold period.
-/// \param longest_wait An upstream that names a rate limit counts if it can be
-/// sent a request within this time.
+/// \param longest_wait An upstream that names a rate limit or is paused counts
+/// if it can be sent a request within this time.
 [[nodiscard]] bool CanEventuallyServe(const UpstreamTable& table,
                                       const UpstreamNeed& need,
                                       const RegionId& region,
                                       Duration longest_wait, TimePoint now);
 
+/// \returns The time until the first paused upstream that can serve the request
+/// is back; empty when none is paused.
+[[nodiscard]] std::optional<Duration> TimeToFirstPauseEnd(
+    const UpstreamTable& table, const UpstreamNeed& need,
+    const RegionId& region, TimePoint now);
+
 /// \brief Counts the start of an attempt.
 void CountAttemptStart(UpstreamTable& table, const UpstreamId& id);
 /// \brief Counts the end of an attempt that got a response.
--- a/include/mimosagauge/impl/decisions/view.h
+++ b/include/mimosagauge/impl/decisions/view.h
@@ -32,7 +32,8 @@
   UpstreamId id;
   ServiceId service;
   ZoneId zone;
-  std::string state;          ///< `live`, `leaving` or `ejected`.
+  std::string state;          ///< `live`, `leaving`, `ejected`,
+                              ///< `paused` or `limited`.
   std::size_t in_flight = 0;  ///< Attempts of this instance running on it.
   std::size_t limit = 0;      ///< Bound on `in_flight`.
 };
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -206,6 +206,17 @@
          ChooseRemote(gateway, record, context.now).peer != nullptr;
 }
 
+// Counts a response with an error status. One that asks for a pause is not a
+// failure of the upstream.
+void RecordErrorResponse(StepContext& context, const UpstreamId& id,
+                         bool paused) {
+  if (paused) {
+    CountAttemptCanceled(context.gateway.upstreams, id);
+  } else {
+    RecordUpstreamFailure(context, id, UpstreamFailure::kErrorResponse);
+  }
+}
+
 // Retries the request elsewhere if the upstream answered with a temporary error
 // and another upstream may serve it. Returns whether the request was retried.
 [[nodiscard]] bool RetryElsewhere(StepContext& context, RequestRecord& record,
@@ -225,8 +236,9 @@
   }
   const AttemptNumber number = record.running->number;
   context.effects.emplace_back(ForUpstreams{CancelAttempt{number}});
+  const bool paused = record.running->paused_upstream;
   FinishAttempt(context, record, [&](const UpstreamId& id) {
-    RecordUpstreamFailure(context, id, UpstreamFailure::kErrorResponse);
+    RecordErrorResponse(context, id, paused);
   });
   record.last_failure =
       "the upstream answered with status 500, 502, 503 or 504";
@@ -275,6 +287,9 @@
   if (const auto* id = std::get_if<UpstreamId>(&record->running->target)) {
     RecordRateLimit(context, *id, event.rate_limit);
     ApplySignals(context, *id, record->running->start, event.signals);
+    record->running->paused_upstream =
+        event.signals.pause.has_value() &&
+        *event.signals.pause <= UpstreamHealth::kMaxPause;
   }
   if (record->outcome.phase == AnswerPhase::kAnswering) {
     const bool continued = record->resuming && event.head.status == kOk &&
@@ -323,10 +338,10 @@
   MarkBodyBegun(context, *record);
   const Duration elapsed = context.now - record->running->started;
   const bool has_error_status = record->running->has_error_status;
+  const bool paused = record->running->paused_upstream;
   FinishAttempt(context, *record, [&](const UpstreamId& id) {
     if (has_error_status) {
-      return RecordUpstreamFailure(context, id,
-                                   UpstreamFailure::kErrorResponse);
+      return RecordErrorResponse(context, id, paused);
     }
     CountAttemptAnswered(context.gateway.upstreams, id, context.now);
     UpstreamState* upstream = FindUpstream(context.gateway.upstreams, id);
--- a/src/decisions/gateway_freshness.cc
+++ b/src/decisions/gateway_freshness.cc
@@ -84,6 +84,28 @@
        {"told_by", reported_by}}});
 }
 
+void LogPauseIgnored(StepContext& context, UpstreamState& upstream) {
+  if (std::exchange(upstream.health.invalid_pause_logged, true)) {
+    return;
+  }
+  context.effects.emplace_back(WriteLog{
+      log_events::kPauseIgnored, {{"upstream", upstream.config.id.value()}}});
+}
+
+void RecordPause(StepContext& context, UpstreamState& upstream,
+                 Duration pause) {
+  const bool was_paused = upstream.health.paused_until > context.now;
+  if (!Pause(upstream.health, pause, context.now)) {
+    return LogPauseIgnored(context, upstream);
+  }
+  if (!was_paused) {
+    context.effects.emplace_back(
+        WriteLog{log_events::kUpstreamPaused,
+                 {{"upstream", upstream.config.id.value()},
+                  {"for_ms", Milliseconds(pause)}}});
+  }
+}
+
 // Whether this instance, or one that it has a link to, learns of changes from
 // the store.
 [[nodiscard]] bool HasStoreContact(const Gateway& gateway, TimePoint now) {
@@ -133,6 +155,11 @@
   if (signals.cold) {
     RecordCold(context, *upstream, *signals.cold);
   }
+  if (signals.pause) {
+    RecordPause(context, *upstream, *signals.pause);
+  } else if (signals.has_invalid_pause) {
+    LogPauseIgnored(context, *upstream);
+  }
   if (signals.leaving &&
       RecordDeparture(context.gateway, *upstream, context.now, true)) {
     LogLeaving(context, *upstream, context.gateway.config.instance.value());
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -154,9 +154,28 @@
   RefuseOrAbort(context, refused, Overloaded(refused.outcome.run));
 }
 
+// Refuses a request whose upstreams are paused for longer than it can wait.
+// Retry-After is the time at which the first of them is back.
+void RefusePaused(StepContext& context, RequestRecord& record,
+                  Duration first_back) {
+  const RunState run = record.outcome.run;
+  Problem problem = record.attempts > 0
+                        ? AttemptsFailed(record.last_failure, run)
+                        : Overloaded(run);
+  problem.retry_after = first_back;
+  RefuseOrAbort(context, record, std::move(problem));
+}
+
 void RefuseUnplaceable(StepContext& context, RequestRecord& record) {
   const RequestHead& head = *record.arrival.head;
   const RunState run = record.outcome.run;
+  const RegionId& region = context.gateway.config.region;
+  if (AllowsRegion(record.verdict, region)) {
+    if (const auto first_back = TimeToFirstPauseEnd(
+            context.gateway.upstreams, NeedOf(record), region, context.now)) {
+      return RefusePaused(context, record, *first_back);
+    }
+  }
   if (record.attempts > 0) {
     return RefuseOrAbort(context, record,
                          AttemptsFailed(record.last_failure, run));
@@ -303,8 +322,10 @@
                ? StartOnUpstream(context, record, *local)
                : RefuseOverload(context, record, local->expected);
   }
+  const Duration longest_wait =
+      std::min(MaxWait(record), record.due - context.now);
   if (local_allowed && CanEventuallyServe(gateway.upstreams, need, region,
-                                          MaxWait(record), context.now)) {
+                                          longest_wait, context.now)) {
     return EnqueueRequest(context, record);
   }
   RefuseUnplaceable(context, record);
--- a/src/decisions/gateway_view.cc
+++ b/src/decisions/gateway_view.cc
@@ -97,6 +97,9 @@
   if (upstream.health.ejected_until > now) {
     return "ejected";
   }
+  if (upstream.health.paused_until > now) {
+    return "paused";
+  }
   return IsRateLimited(upstream.rate, now) ? "limited" : "live";
 }
 
--- a/src/decisions/upstream_health.cc
+++ b/src/decisions/upstream_health.cc
@@ -53,7 +53,16 @@
 }  // namespace
 
 bool IsEligible(const UpstreamHealth& health, TimePoint now) noexcept {
-  return health.ejected_until <= now && health.overload_backoff_until <= now;
+  return health.ejected_until <= now && health.overload_backoff_until <= now &&
+         health.paused_until <= now;
+}
+
+bool Pause(UpstreamHealth& health, Duration pause, TimePoint now) {
+  if (pause < Duration::zero() || pause > UpstreamHealth::kMaxPause) {
+    return false;
+  }
+  health.paused_until = std::max(health.paused_until, now + pause);
+  return true;
 }
 
 void CountResponse(UpstreamHealth& health, TimePoint now) {
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -448,10 +448,26 @@
   return AnyUpstreamOffering(table, need, [&](const UpstreamState& upstream) {
     const bool within_limit = !upstream.rate.named.requests_per_second ||
                               TimeToRequest(upstream.rate, now) <= longest_wait;
-    return within_limit && MeetsRequirements(upstream, need, region);
+    const bool is_back = upstream.health.paused_until <= now + longest_wait;
+    return within_limit && is_back && MeetsRequirements(upstream, need, region);
   });
 }
 
+std::optional<Duration> TimeToFirstPauseEnd(const UpstreamTable& table,
+                                            const UpstreamNeed& need,
+                                            const RegionId& region,
+                                            TimePoint now) {
+  std::optional<Duration> first;
+  AnyUpstreamOffering(table, need, [&](const UpstreamState& upstream) {
+    const Duration left = upstream.health.paused_until - now;
+    if (left > Duration::zero() && MeetsRequirements(upstream, need, region)) {
+      first = first ? std::min(*first, left) : left;
+    }
+    return false;
+  });
+  return first;
+}
+
 void CountAttemptStart(UpstreamTable& table, const UpstreamId& id) {
   if (UpstreamState* upstream = FindUpstream(table, id)) {
     ++upstream->in_flight;
--- a/tests/process/platform_fleet_test.cc
+++ b/tests/process/platform_fleet_test.cc
@@ -243,5 +243,37 @@
   }
 }
 
+// Guards against: requests that reach an upstream after it stated in its
+// answers that it is leaving, or while it asked for a pause.
+TEST_CASE("upstreams that leave or pause get no requests", "[fleet]") {
+  const bool leaves = GENERATE(true, false);
+  CAPTURE(leaves);
+  PlatformFleetOptions options;
+  options.regions = 1;
+  options.instances = 3;
+  PlatformFleet fleet(options);
+  FleetCallers callers(fleet, 10, milliseconds(50), 1);
+  std::this_thread::sleep_for(seconds(1));
+  testing::FleetUpstream& upstream = *fleet.upstreams().front();
+  const auto from = FleetClock::now();
+  if (leaves) {
+    upstream.SetLeaving();
+  } else {
+    upstream.SetRetryAfter("4.5");
+  }
+  std::this_thread::sleep_for(milliseconds(4000));
+  callers.Stop();
+  std::size_t before = 0;
+  std::size_t late = 0;
+  for (const auto& arrival : upstream.arrivals()) {
+    before += arrival < from ? 1 : 0;
+    late += arrival > from + milliseconds(1000) ? 1 : 0;
+  }
+  INFO(fleet.Outputs());
+  CHECK(before > 0);
+  CHECK(late == 0);
+  CHECK(callers.answered() > 100);
+}
+
 }  // namespace
 }  // namespace mimosagauge
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -188,15 +188,35 @@
                     [duration] { std::this_thread::sleep_for(duration); });
 }
 
+void FleetUpstream::SetRetryAfter(const std::string& text) {
+  const std::lock_guard lock(mutex_);
+  retry_after_ = text;
+}
+
+std::vector<FleetClock::time_point> FleetUpstream::arrivals() const {
+  const std::lock_guard lock(mutex_);
+  return arrivals_;
+}
+
 void FleetUpstream::Answer(const StandinRequest& request,
                            const StandinConnectionPtr& connection) {
   const std::string request_id(request["X-Mimosagauge-Request-Id"]);
-  const std::string echo = "X-Mimosagauge-Request-Id: " + request_id + "\r\n";
+  std::string echo = "X-Mimosagauge-Request-Id: " + request_id + "\r\n";
+  if (leaving_) {
+    echo += "Server-Leaving: 1\r\n";
+  }
   if (request["X-Mimosagauge-Expect-Instance"] != id_) {
     return connection->Whole(421, "text/plain", "", echo);
   }
   if (!request_id.empty()) {
     journal_.AddArrival(request_id);
+    const std::lock_guard lock(mutex_);
+    arrivals_.push_back(FleetClock::now());
+    if (!retry_after_.empty()) {
+      return connection->Whole(503, "text/plain", "",
+                               echo + "X-Mimosagauge-Not-Run: true\r\n" +
+                                   "Retry-After: " + retry_after_ + "\r\n");
+    }
   }
   if (running_ >= 2 * kSlots) {
     return connection->Whole(503, "text/plain", "",
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -95,6 +95,13 @@
   void SetFailing(double fraction) { failing_ = fraction; }
   /// \brief Sets the fraction of answers that are lost after a run.
   void SetLosing(double fraction) { losing_ = fraction; }
+  /// \brief From now on, all answers state that the upstream is leaving.
+  void SetLeaving() { leaving_ = true; }
+  /// \brief Answers 503 with this Retry-After instead of running requests;
+  /// an empty text ends that.
+  void SetRetryAfter(const std::string& text);
+  /// \returns When requests arrived, in order.
+  [[nodiscard]] std::vector<FleetClock::time_point> arrivals() const;
   /// \brief Reads and answers nothing for this long; the kernel goes on
   /// accepting connections.
   void Freeze(std::chrono::milliseconds duration);
@@ -111,6 +118,10 @@
   std::unique_ptr<StandinServer> server_;
   std::atomic<double> failing_ = 0;
   std::atomic<double> losing_ = 0;
+  std::atomic<bool> leaving_ = false;
+  mutable std::mutex mutex_;
+  std::string retry_after_;
+  std::vector<FleetClock::time_point> arrivals_;
   std::size_t running_ = 0;
   std::minstd_rand random_;
   std::thread thread_;
