Tests: rename one of two types of the same name

Cause: tests/support/once_world.h and store_state.h both define mimosagauge::testing::StoreHttpAnswer. In one program the linker keeps one of their implicit move assignments; at -O0, where it is not inlined, the tests of the operators' interface end with SIGSEGV.

Change: the type of once_world.h is StoreReply.

Measured, -O0: "only the operators' token lets a request in" ended with SIGSEGV in 3 runs of 3 before; with the change all unit tests run to their end.

--- a/tests/support/once_world.cc
+++ b/tests/support/once_world.cc
@@ -177,7 +177,7 @@
   const Envelope envelope = network_[which];
   const auto* request = std::get_if<StoreMessage>(&envelope.message);
   if (request == nullptr &&
-      !std::holds_alternative<StoreHttpAnswer>(envelope.message)) {
+      !std::holds_alternative<StoreReply>(envelope.message)) {
     network_.erase(network_.begin() + static_cast<std::ptrdiff_t>(which));
     return;
   }
@@ -261,7 +261,7 @@
     Apply(at, ApplyClaimBinding(instance.table, Now(at), learned));
   } else if (const auto* refused = std::get_if<RefuseClaim>(&message)) {
     Apply(at, ApplyClaimRefusal(instance.table, refused->ask));
-  } else if (const auto* answer = std::get_if<StoreHttpAnswer>(&message)) {
+  } else if (const auto* answer = std::get_if<StoreReply>(&message)) {
     if (answer->to == instance.table.self) {
       Apply(at, HandleStoreEvent(instance.committer, Now(at), answer->event));
     }
@@ -324,7 +324,7 @@
   if (const auto* load = std::get_if<LoadSlot>(&message.request)) {
     const Slot& slot = store_[load->slot];
     Post(kStore, message.from,
-         StoreHttpAnswer{to, SlotLoaded{load->slot, load->call, slot.revision,
+         StoreReply{to, SlotLoaded{load->slot, load->call, slot.revision,
                                         slot.value}});
     return;
   }
@@ -351,7 +351,7 @@
   if (without_ == Without::kReadBack) {
     event = ClaimCommitted{commit.slot, commit.call, slot.revision};
   }
-  Post(kStore, message.from, StoreHttpAnswer{to, event});
+  Post(kStore, message.from, StoreReply{to, event});
 }
 
 void OnceWorld::Apply(std::size_t at, const KeyEffects& effects) {
--- a/tests/support/once_world.h
+++ b/tests/support/once_world.h
@@ -51,13 +51,13 @@
   std::size_t from = 0;
   std::variant<LoadSlot, CommitClaims> request;
 };
-struct StoreHttpAnswer {
+struct StoreReply {
   KeyOwner to;
   StoreEvent event;
 };
 using Message =
     std::variant<CallMessage, ClaimAsk, ClaimBinding, RefuseClaim, StoreMessage,
-                 StoreHttpAnswer, HandoverChunk, HandoverNotice>;
+                 StoreReply, HandoverChunk, HandoverNotice>;
 
 struct Envelope {
   std::size_t to = 0;  ///< Instance, or `kStore`.
