--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -3,7 +3,9 @@
 #ifndef MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
 #define MIMOSAGAUGE_IMPL_DECISIONS_GATEWAY_DETAIL_H_
 
+#include <cstddef>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -28,6 +30,12 @@
 [[nodiscard]] RequestRecord* FindRequest(Gateway& gateway,
                                          RequestNumber number) noexcept;
 
+/// Whether an effect is the last one of its answer.
+template <typename AnswerPart>
+inline constexpr bool kEndsAnswer = std::is_same_v<AnswerPart, SendAnswerEnd> ||
+                                    std::is_same_v<AnswerPart, AbortAnswer> ||
+                                    std::is_same_v<AnswerPart, SendProblem>;
+
 /// \brief Emits the effect that sends part of an answer, to the duty that
 /// received the request. Does nothing for a detached request.
 template <typename AnswerPart>
@@ -36,6 +44,9 @@
   if (record.detached) {
     return;
   }
+  if constexpr (kEndsAnswer<AnswerPart>) {
+    AddUnwritten(context.gateway.unwritten, record.arrival.number);
+  }
   part.number = record.arrival.number;
   if (record.arrival.origin == Origin::kCaller) {
     context.effects.emplace_back(ForCallers{std::move(part)});
@@ -309,6 +320,52 @@
 void ApplyLimitReports(StepContext& context, const InstanceId& from,
                        const std::vector<LimitReport>& reports);
 
+/// \brief The instances of this region that this one reaches over links.
+struct RegionReach {
+  std::size_t known = 1;    ///< Instances that may be running, with this one.
+  std::size_t reached = 1;  ///< Of those, the ones with a link, and this one.
+  /// Whether more than half are reached. With exactly half, it is the half with
+  /// the instance of the smallest name.
+  bool has_majority = true;
+};
+[[nodiscard]] RegionReach ReachOfRegion(const Gateway& gateway);
+
+/// \brief Applies what an upstream stated in a response, unless another process
+/// has taken its place since the request was sent.
+void ApplySignals(StepContext& context, const UpstreamId& id,
+                  const UpstreamStart& start, const UpstreamSignals& signals);
+
+/// \brief Limits the rate to an upstream whose process has ended, while its
+/// entry in the store cannot be read: its successor begins cold.
+void AssumeColdSuccessor(StepContext& context, const UpstreamId& id);
+
+/// \returns The start of the upstream's process as its record names it.
+[[nodiscard]] inline UpstreamStart StartOf(const UpstreamConfig& config) {
+  return {config.incarnation, config.endpoint};
+}
+
+/// \returns Cold periods that this instance has to report to the instances of
+/// its region, at most a few.
+[[nodiscard]] std::vector<ColdReport> TakeColdReports(Gateway& gateway,
+                                                      TimePoint now);
+
+/// \returns Departures that this instance has to report to the instances of its
+/// region, at most a few.
+[[nodiscard]] std::vector<DepartureReport> TakeDepartureReports(
+    Gateway& gateway, TimePoint now);
+
+/// \brief Keeps an upstream out of use that stated that it is leaving, whatever
+/// its entry in the store says; for another process the statement is dropped.
+void ApplyDeparture(Gateway& gateway, UpstreamState& upstream);
+
+/// \brief Applies what another instance of this region knows of upstreams.
+void ApplyFreshness(StepContext& context, const InstanceId& from,
+                    const LoadDigest& digest);
+
+/// \brief Sends the health requests that are due: while neither this instance
+/// nor another one that it reaches is in contact with the store.
+void SendHealthRequests(StepContext& context);
+
 /// \brief Refuses the request, or aborts its answer, if it has poison content.
 /// \returns Whether it was refused; the record is then no longer valid.
 bool RefuseIfPoison(StepContext& context, RequestRecord& record);
@@ -374,6 +431,7 @@
 /// \brief Handles an event; there is one overload for each event type.
 void Handle(StepContext& context, RequestArrived&& event);
 void Handle(StepContext& context, RequestAbandoned&& event);
+void Handle(StepContext& context, AnswersWritten&& event);
 void Handle(StepContext& context, AnswerConsumed&& event);
 void Handle(StepContext& context, RulesReceived&& event);
 void Handle(StepContext& context, CatalogueReceived&& event);
@@ -383,6 +441,8 @@
 void Handle(StepContext& context, InstanceUpdated&& event);
 void Handle(StepContext& context, InstanceRemoved&& event);
 void Handle(StepContext& context, StoreRevisionSeen&& event);
+void Handle(StepContext& context, StoreContactChanged&& event);
+void Handle(StepContext& context, UpstreamHealthReceived&& event);
 void Handle(StepContext& context, LoadReceived&& event);
 void Handle(StepContext& context, TrafficReceived&& event);
 void Handle(StepContext& context, PlacementReceived&& event);
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -96,6 +96,8 @@
 void Handle(StepContext& context, RequestAbandoned&& event) {
   RequestRecord* record = FindRequest(context.gateway, event.number);
   if (record == nullptr) {
+    // The answer's end and the abandonment have crossed each other.
+    RemoveUnwritten(context.gateway.unwritten, {event.number, false});
     return;
   }
   if (!record->keyed) {
@@ -112,6 +114,12 @@
   record->unconsumed = Bytes{};
 }
 
+void Handle(StepContext& context, AnswersWritten&& event) {
+  for (const WrittenAnswer& written : event.answers) {
+    RemoveUnwritten(context.gateway.unwritten, written);
+  }
+}
+
 void Handle(StepContext& context, AnswerConsumed&& event) {
   RequestRecord* record = FindRequest(context.gateway, event.number);
   if (record == nullptr) {
@@ -184,6 +192,7 @@
   // wait for any service are tried again on each tick.
   context.gateway.all_services_freed = true;
   SearchForPoison(context);
+  SendHealthRequests(context);
   Apply(context, RemoveExpiredKeys(context.gateway.keys, context.now));
   Apply(context, TickClaims(context.gateway.claims, context.now));
   Apply(context, TickRulesGossip(context.gateway.spread, context.now));
--- a/src/decisions/gateway_view.cc
+++ b/src/decisions/gateway_view.cc
@@ -98,6 +98,9 @@
   if (upstream.health.ejected_until > now) {
     return "ejected";
   }
+  if (upstream.health.paused_until > now) {
+    return "paused";
+  }
   return IsRateLimited(upstream.rate, now) ? "limited" : "live";
 }
 
@@ -112,6 +115,10 @@
   gateway.last_view_at = context.now;
   if (first || context.now - gateway.metrics_text_at >= kMetricsInterval) {
     gateway.metrics_text_at = context.now;
+    gateway.metrics.in_progress = gateway.requests.size();
+    gateway.metrics.unwritten = gateway.unwritten.unwritten.size();
+    gateway.metrics.health_requests = gateway.freshness.health_requests;
+    gateway.metrics.cut = gateway.unwritten.cut;
     gateway.metrics_text = PrometheusText(gateway.metrics) +
                            PlacementMetricsText(gateway.placement) +
                            AllowanceMetricsText(gateway, context.now);
@@ -127,6 +134,8 @@
   InstanceView view;
   view.draining = gateway.drain_started.has_value();
   view.ready = detail::HasRoutingRules(gateway) && !view.draining;
+  view.in_progress = gateway.requests.size();
+  view.unwritten = gateway.unwritten.unwritten.size();
   view.catalogue = gateway.catalogue;
   view.rules = gateway.rules;
   if (!gateway.config.ticket_secrets.empty() && !view.draining) {
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -379,6 +379,7 @@
     state->load = EngineLoad{};
     state->pace = MachinePace{};
     state->rate.named = {};
+    state->rate.cold_stated_until = {};
     Clear(state->cache);
   }
   state->config = record.config;
@@ -388,7 +389,7 @@
   state->copy_ms_per_token = terms.copy_ms_per_token;
   state->leaving = state->leaving || record.leaving;
   state->rate.cold_rate = terms.cold_rate;
-  ExtendColdPeriod(state->rate, record.cold_remaining, now);
+  RecordColdStatement(state->rate, record.cold_remaining, now);
   // Most records change only the state of an upstream, which needs no new
   // index.
   if (!index_unchanged) {
@@ -467,10 +468,26 @@
   return AnyUpstreamOffering(table, need, [&](const UpstreamState& upstream) {
     const bool within_limit = !upstream.rate.named.requests_per_second ||
                               TimeToRequest(upstream.rate, now) <= longest_wait;
-    return within_limit && MeetsRequirements(upstream, need, region);
+    const bool is_back = upstream.health.paused_until <= now + longest_wait;
+    return within_limit && is_back && MeetsRequirements(upstream, need, region);
   });
 }
 
+std::optional<Duration> TimeToFirstPauseEnd(const UpstreamTable& table,
+                                            const UpstreamNeed& need,
+                                            const RegionId& region,
+                                            TimePoint now) {
+  std::optional<Duration> first;
+  AnyUpstreamOffering(table, need, [&](const UpstreamState& upstream) {
+    const Duration left = upstream.health.paused_until - now;
+    if (left > Duration::zero() && MeetsRequirements(upstream, need, region)) {
+      first = first ? std::min(*first, left) : left;
+    }
+    return false;
+  });
+  return first;
+}
+
 void CountAttemptStart(UpstreamTable& table, const UpstreamId& id) {
   if (UpstreamState* upstream = FindUpstream(table, id)) {
     ++upstream->in_flight;
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -19,13 +19,17 @@
 // limit of one answer.
 constexpr int kAttemptsPerCall = 2;
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(500);
-// Under strict revocation, the second attempt of a poll must be answered before
-// the time limit of the call, which is this much longer than the hold.
-constexpr Duration kSecondAttemptTime = std::chrono::milliseconds(400);
-// Round trips and backoff of three polls in a row, of which one is lost.
-constexpr Duration kPollReserve = std::chrono::milliseconds(500);
-constexpr int kPollsInARow = 3;
+// Under strict revocation two polls in a row, without a loss, must take less
+// than half of the largest age, so that other instances are asked only after a
+// loss. This is left for the round trip of each.
+constexpr Duration kPollRoundTrip = std::chrono::milliseconds(150);
 constexpr Duration kMinPollWait = std::chrono::milliseconds(100);
+// An overdue poll is repeated until this many wait for an answer. The second
+// repetition is the one that is received if the connection of the first goes
+// silent too.
+constexpr std::size_t kMaxParallelPolls = 3;
+// How long the store holds a poll that is to be answered at once.
+constexpr Duration kNoWait = std::chrono::milliseconds(1);
 // A lease is renewed this many times within its lifetime.
 constexpr int kRenewalsPerSession = 3;
 
@@ -83,11 +87,9 @@
 }  // namespace
 
 Duration PollWaitFor(Duration strict, const FleetDutyTimings& times) noexcept {
-  const Duration left = LongestConfirmationAge(strict) - times.answer -
-                        times.batch - kPollReserve;
-  return std::clamp(std::min<Duration>(left / kPollsInARow,
-                                       times.answer - kSecondAttemptTime),
-                    std::min(kMinPollWait, times.wait), times.wait);
+  const Duration two_polls = LongestConfirmationAge(strict) / 2 - times.batch;
+  return std::clamp<Duration>(two_polls / 2 - kPollRoundTrip,
+                              std::min(kMinPollWait, times.wait), times.wait);
 }
 
 FleetDuty::FleetDuty(boost::asio::io_context& io_context,
@@ -106,6 +108,7 @@
       store_(std::make_shared<StoreClient>(
           io_context, ClientSettings(settings, store, times))),
       watch_timer_(io_context),
+      overdue_timer_(io_context),
       renewal_timer_(io_context),
       missing_timer_(io_context),
       replacement_timer_(io_context),
@@ -118,6 +121,7 @@
 
 void FleetDuty::Stop() {
   watch_timer_.cancel();
+  overdue_timer_.cancel();
   renewal_timer_.cancel();
   missing_timer_.cancel();
   replacement_timer_.cancel();
@@ -279,7 +283,7 @@
 
 void FleetDuty::ReadAll() {
   // Answers to polls that started before this read are ignored.
-  ++poll_number_;
+  IgnorePolls();
   read_ = std::make_shared<FullRead>();
   read_->started_at = MonotonicNow();
   ReadPrefix(read_, 0, "");
@@ -357,7 +361,8 @@
     return;
   }
   watch_timer_.cancel();
-  Poll();
+  store_->DropIdleConnections();
+  StartPolls(kNoWait);
 }
 
 void FleetDuty::AdvanceSeenRevision(StoreRevision revision) {
@@ -367,23 +372,63 @@
   }
 }
 
-void FleetDuty::Poll() {
+void FleetDuty::Poll() { StartPolls(times_.wait); }
+
+void FleetDuty::StartPolls(Duration wait) {
+  IgnorePolls();
+  SendPoll(wait);
+}
+
+void FleetDuty::IgnorePolls() {
+  overdue_timer_.cancel();
+  oldest_poll_ = poll_number_ + 1;
+  polls_in_progress_ = 0;
+}
+
+void FleetDuty::SendPoll(Duration wait) {
   const std::uint64_t poll_number = ++poll_number_;
+  ++polls_in_progress_;
+  if (polls_in_progress_ < kMaxParallelPolls) {
+    overdue_timer_.expires_after(wait + times_.overdue);
+    overdue_timer_.async_wait([this, poll_number](const auto& canceled) {
+      if (!canceled && store_ != nullptr && poll_number >= oldest_poll_) {
+        RepeatOverduePoll();
+      }
+    });
+  }
   const TimePoint sent_at = MonotonicNow();
-  store_->Poll({"", true, ""}, seen_revision_, times_.wait,
+  store_->Poll({"", true, ""}, seen_revision_, wait,
                [this, poll_number, sent_at](Result<StoreWatchUpdate>&& update) {
-                 if (poll_number != poll_number_) {
-                   return;
-                 }
-                 RecordCallResult(bool{update},
-                                  update ? "" : update.error().message);
-                 if (!update) {
-                   return RunAfter(times_.retry, &FleetDuty::Poll);
+                 if (poll_number >= oldest_poll_) {
+                   HandlePollAnswer(std::move(update), sent_at);
                  }
-                 HandlePollUpdate(update.value(), sent_at);
                });
 }
 
+// The connection of the poll may have gone silent, and idle connections with
+// it, so the poll is repeated on a new one. The repetition is not held, so that
+// its own delay shows a second silent connection.
+void FleetDuty::RepeatOverduePoll() {
+  store_->DropIdleConnections();
+  SendPoll(kNoWait);
+}
+
+void FleetDuty::HandlePollAnswer(Result<StoreWatchUpdate>&& update,
+                                 TimePoint sent_at) {
+  --polls_in_progress_;
+  RecordCallResult(bool{update}, update ? "" : update.error().message);
+  const bool usable = update && (update.value().gap ||
+                                 update.value().revision >= seen_revision_);
+  if (!usable && polls_in_progress_ > 0) {
+    return;  // Another poll is still to be answered.
+  }
+  IgnorePolls();
+  if (!usable) {
+    return RunAfter(times_.retry, &FleetDuty::Poll);
+  }
+  HandlePollUpdate(update.value(), sent_at);
+}
+
 void FleetDuty::HandlePollUpdate(const StoreWatchUpdate& update,
                                  TimePoint sent_at) {
   if (update.gap) {
@@ -618,6 +663,7 @@
     return;
   }
   logged_reachable_ = answered;
+  decisions_.Post(StoreContactChanged{answered});
   if (answered) {
     Log(log_events::kStoreReachable);
   } else {
--- a/tests/unit/strict_revocation_test.cc
+++ b/tests/unit/strict_revocation_test.cc
@@ -197,18 +197,16 @@
   const FleetDutyTimings times;
   const Duration wait = PollWaitFor(strict, times);
   const Duration round_trip = milliseconds(120);
-  const Duration backoff = milliseconds(50);
   CAPTURE(strict.count(), wait.count());
   CHECK(wait <= times.wait);
   CHECK(wait >= milliseconds(100));
-  // An answered poll with changes, one whose first attempt is lost and whose
-  // second attempt takes a connection of its own.
+  // An answered poll with changes, one that is lost, and its repetition on a
+  // new connection, which is not held.
   const Duration age = (wait + round_trip + times.batch) +
-                       (wait + times.answer + backoff) +
-                       (wait + 2 * round_trip);
+                       (wait + times.overdue) + 2 * round_trip;
   CHECK(age <= LongestConfirmationAge(strict));
-  // The second attempt is within the time limit of the call.
-  CHECK(backoff + wait + 2 * round_trip <= times.answer);
+  // The same with the repetition lost too.
+  CHECK(age + times.overdue + 2 * round_trip <= LongestConfirmationAge(strict));
   // Without losses no questions are asked.
   CHECK(2 * (wait + round_trip) + times.batch <=
         LongestConfirmationAge(strict) / 2);
