Hedge requests whose answers are late

A request whose answer has not begun by the time by which most have gets a second attempt at another upstream of the region. The first usable head wins, the other attempt is cancelled in the same step, and what it still sends is discarded. A record has the second attempt in `hedge` only while both run; each handler first exchanges the two so that the event's attempt is in `running`, so the rest of the state machine knows one attempt as before. Without a limit in the configuration nothing is recorded or started.

An upstream that loses every race is cancelled before it is overdue; three losses in a row without an answer make each further one a failure, so that it is ejected. MayHedge is the place where an account's allowance forbids a hedge; until a hedge can be taken from the allowance, accounts that have one are not hedged.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -142,6 +142,16 @@
     "the detail says what it lacks; look at its writer"};
 inline constexpr LogEvent kStoreReread{
     5005, LogLevel::kInfo, "the store's entries were read anew", ""};
+inline constexpr LogEvent kHedgeStarted{
+    8341, LogLevel::kInfo,
+    "a request's answer is late and a second attempt was started", ""};
+inline constexpr LogEvent kHedgeSettled{
+    8342, LogLevel::kInfo,
+    "one of a request's two attempts began its answer; the other was canceled",
+    ""};
+inline constexpr LogEvent kHedgeOtherFailed{
+    8343, LogLevel::kInfo,
+    "one of a request's two attempts failed; the other goes on", ""};
 inline constexpr LogEvent kLinkListening{4001, LogLevel::kInfo,
                                          "listening for other instances", ""};
 inline constexpr LogEvent kLinkUp{4002, LogLevel::kInfo,
--- a/include/mimosagauge/impl/decisions/config.h
+++ b/include/mimosagauge/impl/decisions/config.h
@@ -14,6 +14,7 @@
 #include "mimosagauge/impl/core/time.h"
 #include "mimosagauge/impl/core/units.h"
 #include "mimosagauge/impl/decisions/engine_load.h"
+#include "mimosagauge/impl/decisions/hedging/hedging.h"
 #include "mimosagauge/impl/decisions/once/fingerprint.h"
 #include "mimosagauge/impl/decisions/once/key_owner.h"
 
@@ -76,6 +77,7 @@
   /// Retries allowed at a service beyond that ratio in any time window, over
   /// all instances.
   double retry_slack = 10;
+  HedgingConfig hedging;
 };
 
 /// \brief Settings of the gateway state machine.
--- a/include/mimosagauge/impl/decisions/engine_load.h
+++ b/include/mimosagauge/impl/decisions/engine_load.h
@@ -84,6 +84,9 @@
 void RecordLoadReport(EngineLoad& load, const LoadReport& report,
                       std::size_t own_in_flight, TimePoint now);
 
+/// \returns Whether the most recent load report is recent enough to be used.
+[[nodiscard]] bool HasRecentReport(const EngineLoad& load, TimePoint now);
+
 /// \brief Records the load of another instance at this upstream, from that
 /// instance's digest.
 /// \param sent_tokens Prompt tokens that the other instance has sent to the
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -20,6 +20,7 @@
 #include "mimosagauge/impl/decisions/effects.h"
 #include "mimosagauge/impl/decisions/events.h"
 #include "mimosagauge/impl/decisions/gateway_metrics.h"
+#include "mimosagauge/impl/decisions/hedging/hedging.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/once/key_table.h"
 #include "mimosagauge/impl/decisions/outcome.h"
@@ -43,6 +44,8 @@
   bool answered = false;       ///< The prompt is no longer counted as unread.
   bool has_error_status = false;  ///< The answer's status is 500 or higher.
   bool body_began = false;        ///< Part of the answer's body was received.
+  Duration reference{};   ///< Time until the answer begins at an idle upstream.
+  bool is_hedge = false;  ///< It was started because another attempt is late.
 };
 
 /// \brief State of a request that has an idempotency key.
@@ -72,6 +75,13 @@
   Duration time_to_head{};         ///< Time from arrival to the answer's head;
                                    ///< zero: no head was received yet.
   std::optional<Attempt> running;  ///< The running attempt, if any.
+  /// A second running attempt, at another upstream. Set only while `running` is
+  /// set and neither has a usable answer.
+  std::optional<Attempt> hedge;
+  bool hedged = false;     ///< A hedge was started.
+  bool hedge_won = false;  ///< The answer is the hedge's.
+  /// When the request is checked for a second attempt; empty: it is not.
+  std::optional<TimePoint> hedge_check_at;
   /// Position in the waiting queue; empty: the request does not wait.
   std::optional<QueuedRequest> queue_position;
   TimePoint wait_until{};  ///< When a request that still waits is refused;
@@ -152,6 +162,7 @@
   KeyTable keys;
   ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
+  HedgingState hedging;
   PoisonTable poison;
   /// Requests lost at upstreams of which it is not known yet whether their
   /// process has ended.
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -74,11 +74,17 @@
 /// running attempt is cancelled.
 void RemoveRequest(StepContext& context, RequestNumber number);
 
-/// \brief Cancels the running attempt, if any. An upstream whose answer is
-/// overdue gets a failure counted; otherwise no result is recorded for the
-/// target.
+/// \brief Cancels the running attempt and the hedge, if any. An upstream whose
+/// answer is overdue gets a failure counted; otherwise no result is recorded
+/// for the target.
 void CancelRunningAttempt(StepContext& context, RequestRecord& record);
 
+/// \brief Cancels an attempt that was removed from the record.
+/// \param failed Whether a failure of its upstream is counted even if the
+/// answer is not overdue.
+void CancelRemovedAttempt(StepContext& context, RequestRecord& record,
+                          Attempt attempt, bool failed);
+
 /// \brief Places the request on an upstream, on another instance or in the
 /// waiting queue, or refuses it if none of them is possible.
 void PlaceRequest(StepContext& context, RequestNumber number);
@@ -118,6 +124,51 @@
 [[nodiscard]] bool IsPeerAllowed(const RequestRecord& record,
                                  const PeerConfig& peer);
 
+/// \returns The need together with the prompt and the tie-breaking values that
+/// the choice among upstreams takes into account.
+[[nodiscard]] UpstreamNeed PlacementNeedOf(const Gateway& gateway,
+                                           const RequestRecord& record);
+
+/// \brief Starts an attempt at the given upstream.
+void StartOnUpstream(StepContext& context, RequestRecord& record,
+                     const UpstreamChoice& choice);
+
+/// \brief Prepares for a hedge of the attempt that has just been started on an
+/// upstream: credits the hedge budget and sets the time of the first check.
+void ScheduleHedge(StepContext& context, RequestRecord& record);
+
+/// \brief Starts the hedges that are due.
+void StartDueHedges(StepContext& context);
+
+/// \returns Whether the account's allowance permits a hedge of the request,
+/// which counts like another request.
+[[nodiscard]] bool MayHedge(const Gateway& gateway, const RequestRecord& record,
+                            TimePoint now);
+
+/// \brief Makes the attempt of an event the one in `running`; the other one, if
+/// any, is then in `hedge`.
+void SelectAttempt(RequestRecord& record, AttemptNumber number);
+
+/// \brief Records the start of the running attempt's answer for the percentile
+/// of the service.
+void RecordAnswerStart(StepContext& context, const RequestRecord& record);
+
+/// \brief Makes the running attempt the only one, because its answer has begun,
+/// and cancels the hedge, if any.
+void SettleRace(StepContext& context, RequestRecord& record);
+
+/// \brief Lets a request go on with its other attempt after `running` failed.
+/// \returns Whether there is one; it is then in `running`.
+[[nodiscard]] bool PromoteHedge(StepContext& context, RequestRecord& record);
+
+/// \brief Records the time until a canceled attempt was canceled, if that shows
+/// that its answer was late.
+void RecordUnansweredAttempt(StepContext& context, const RequestRecord& record,
+                             const Attempt& attempt);
+
+/// \brief Removes the request's check for a hedge.
+void RemoveHedgeCheck(Gateway& gateway, RequestRecord& record);
+
 /// \brief Starts an attempt at the given instance.
 void StartOnInstance(StepContext& context, RequestRecord& record,
                      const PeerConfig& peer);
--- a/include/mimosagauge/impl/decisions/gateway_metrics.h
+++ b/include/mimosagauge/impl/decisions/gateway_metrics.h
@@ -47,6 +47,19 @@
   Accumulator accumulator_;
 };
 
+/// \brief Counters of the hedges at one service.
+struct HedgeMetrics {
+  std::uint64_t started = 0;  ///< Hedges started.
+  std::uint64_t won = 0;      ///< Hedges whose answer was used.
+  std::uint64_t lost = 0;     ///< Hedges whose answer was not used.
+  /// Checks that started no hedge, by reason. A request whose check is repeated
+  /// counts each time.
+  std::map<std::string, std::uint64_t> blocked;
+  /// Time that upstreams worked on attempts until these were canceled because
+  /// the other one had won, in seconds.
+  double extra_seconds = 0;
+};
+
 /// \brief Counters and latencies of one service.
 struct ServiceMetrics {
   std::uint64_t requests = 0;                    ///< Requests received.
@@ -57,8 +70,9 @@
   std::uint64_t retries = 0;    ///< Attempts after the first of a request.
   std::uint64_t resumed = 0;    ///< Streams continued on another upstream.
   std::uint64_t forwarded = 0;  ///< Requests forwarded to another instance.
-  TimeSummary first_byte;       ///< Time from arrival to the answer's head.
-  TimeSummary total;            ///< Time from arrival to the answer's end.
+  HedgeMetrics hedges;
+  TimeSummary first_byte;  ///< Time from arrival to the answer's head.
+  TimeSummary total;       ///< Time from arrival to the answer's end.
 };
 
 /// \brief All metrics of the gateway state machine.
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -83,6 +83,8 @@
   /// means that only upstreams of the same cost are equal, and then load and
   /// availability zone decide instead of the number.
   Duration spread{};
+  /// Whether only upstreams qualify that have a free slot and no rate limit.
+  bool only_spare = false;
 };
 
 /// \brief The upstream chosen for a request, with its latency estimate.
--- a/src/decisions/engine_load.cc
+++ b/src/decisions/engine_load.cc
@@ -112,6 +112,11 @@
   load.reported_at = now;
 }
 
+bool HasRecentReport(const EngineLoad& load, TimePoint now) {
+  return load.reported_at != TimePoint{} &&
+         now - load.reported_at <= kReportMaxAge;
+}
+
 void RecordPeerLoad(EngineLoad& load, const InstanceId& instance,
                     const PeerLoad& peer_load, double sent_tokens,
                     TimePoint now) {
@@ -163,8 +168,7 @@
       others.unread_tokens += peer_load.unread_tokens;
     }
   }
-  const bool has_recent_report = load.reported_at != TimePoint{} &&
-                                 now - load.reported_at <= kReportMaxAge;
+  const bool has_recent_report = HasRecentReport(load, now);
   const bool report_is_fresh =
       !engine && now - load.reported_at <= kFreshReportMaxAge;
   if (!has_recent_report || (has_peer_load && !report_is_fresh)) {
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -254,6 +254,8 @@
   // cancelled.
   detail::ContinueDrain(context);
   detail::Dispatch(context);
+  // After dispatching, so that a waiting request gets a free slot first.
+  detail::StartDueHedges(context);
   detail::SendLoadDigests(context);
   detail::PublishViews(context);
   return effects;
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -206,8 +206,20 @@
          ChooseRemote(gateway, record, context.now).peer != nullptr;
 }
 
+// Ends the running attempt, whose answer reports an error of the upstream.
+void DiscardErrorResponse(StepContext& context, RequestRecord& record) {
+  const AttemptNumber number = record.running->number;
+  context.effects.emplace_back(ForUpstreams{CancelAttempt{number}});
+  FinishAttempt(context, record, [&](const UpstreamId& id) {
+    RecordUpstreamFailure(context, id, UpstreamFailure::kErrorResponse);
+  });
+  record.last_failure =
+      "the upstream answered with status 500, 502, 503 or 504";
+}
+
 // Retries the request elsewhere if the upstream answered with a temporary error
-// and another upstream may serve it. Returns whether the request was retried.
+// and another upstream may serve it, or lets it go on with its other attempt.
+// Returns whether the answer was discarded.
 [[nodiscard]] bool RetryElsewhere(StepContext& context, RequestRecord& record,
                                   std::uint16_t status) {
   const bool is_retryable =
@@ -216,6 +228,11 @@
   if (!is_retryable || !IsOnUpstream(record)) {
     return false;
   }
+  if (record.hedge) {
+    ++record.runs;
+    DiscardErrorResponse(context, record);
+    return PromoteHedge(context, record);
+  }
   if (!HasAlternative(context, record)) {
     return false;
   }
@@ -223,13 +240,7 @@
   if (!AllowRetry(context, record, RunState::kRan, true)) {
     return false;
   }
-  const AttemptNumber number = record.running->number;
-  context.effects.emplace_back(ForUpstreams{CancelAttempt{number}});
-  FinishAttempt(context, record, [&](const UpstreamId& id) {
-    RecordUpstreamFailure(context, id, UpstreamFailure::kErrorResponse);
-  });
-  record.last_failure =
-      "the upstream answered with status 500, 502, 503 or 504";
+  DiscardErrorResponse(context, record);
   PlaceRequest(context, record.arrival.number);
   return true;
 }
@@ -268,8 +279,10 @@
   if (record == nullptr) {
     return;
   }
+  SelectAttempt(*record, event.attempt);
   RecordRunState(record->outcome, RunState::kRan);
   record->running->has_error_status = event.head.status >= kServerError;
+  RecordAnswerStart(context, *record);
   DisproveLoss(context, *record->running);
   UpdateUpstreamLoad(context, *record, event.load);
   if (const auto* id = std::get_if<UpstreamId>(&record->running->target)) {
@@ -284,6 +297,7 @@
     return;
   }
   if (!RetryElsewhere(context, *record, event.head.status)) {
+    SettleRace(context, *record);
     StartAnswer(context, *record, std::move(event.head));
   }
 }
@@ -319,6 +333,7 @@
   if (record == nullptr) {
     return;
   }
+  SelectAttempt(*record, event.attempt);
   MarkBodyBegun(context, *record);
   const Duration elapsed = context.now - record->running->started;
   const bool has_error_status = record->running->has_error_status;
@@ -336,6 +351,10 @@
   if (record->outcome.phase != AnswerPhase::kAnswering) {
     record->last_failure =
         "the answer ended before its status and header fields were received";
+    if (PromoteHedge(context, *record)) {
+      ++record->runs;
+      return RecordRunState(record->outcome, RunState::kUnknown);
+    }
     return RefuseOrAbort(
         context, *record,
         AttemptsFailed(record->last_failure, record->outcome.run));
@@ -375,6 +394,7 @@
   if (record == nullptr) {
     return;
   }
+  SelectAttempt(*record, event.attempt);
   RecordRunState(record->outcome, event.run);
   const bool owner_gave_no_answer =
       record->keyed && record->keyed->forwarded && !event.problem;
@@ -397,6 +417,9 @@
       Handle(context, UpstreamRemoved{id});
     }
   });
+  if (PromoteHedge(context, *record)) {
+    return;
+  }
   if (suspected) {
     // Another upstream would probably be lost too.
     return RefuseOrAbort(
--- a/src/decisions/gateway_metrics.cc
+++ b/src/decisions/gateway_metrics.cc
@@ -4,7 +4,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <functional>
 #include <iterator>
+#include <string_view>
 
 namespace mimosagauge {
 namespace {
@@ -79,6 +82,61 @@
   }
 }
 
+void AppendHedgeCounter(std::string& text, const GatewayMetrics& metrics,
+                        std::string_view name, std::string_view help,
+                        const std::function<double(const HedgeMetrics&)>& of) {
+  auto out = std::back_inserter(text);
+  fmt::format_to(out, "# HELP mimosagauge_{0}_total {1}\n", name, help);
+  fmt::format_to(out, "# TYPE mimosagauge_{0}_total counter\n", name);
+  for (const auto& [service, values] : metrics.services) {
+    fmt::format_to(out, "mimosagauge_{}_total{{service=\"{}\"}} {}\n", name,
+                   service.value(), of(values.hedges));
+  }
+}
+
+// Appends nothing where no request was ever checked for a hedge, as without the
+// settings section.
+void AppendHedges(std::string& text, const GatewayMetrics& metrics) {
+  const bool used = std::any_of(
+      metrics.services.begin(), metrics.services.end(), [](const auto& entry) {
+        const HedgeMetrics& hedges = entry.second.hedges;
+        return hedges.started > 0 || !hedges.blocked.empty();
+      });
+  if (!used) {
+    return;
+  }
+  const auto to_double = [](std::uint64_t count) {
+    return static_cast<double>(count);
+  };
+  AppendHedgeCounter(
+      text, metrics, "hedges", "Second attempts of late requests.",
+      [&](const HedgeMetrics& hedges) { return to_double(hedges.started); });
+  AppendHedgeCounter(
+      text, metrics, "hedges_won", "Second attempts whose answer was used.",
+      [&](const HedgeMetrics& hedges) { return to_double(hedges.won); });
+  AppendHedgeCounter(
+      text, metrics, "hedges_lost",
+      "Second attempts whose answer was not used.",
+      [&](const HedgeMetrics& hedges) { return to_double(hedges.lost); });
+  AppendHedgeCounter(
+      text, metrics, "hedge_extra_seconds",
+      "Work on attempts that were canceled because the other one had won.",
+      [](const HedgeMetrics& hedges) { return hedges.extra_seconds; });
+  text +=
+      "# HELP mimosagauge_hedges_blocked_total Checks that started no second "
+      "attempt.\n"
+      "# TYPE mimosagauge_hedges_blocked_total counter\n";
+  for (const auto& [service, values] : metrics.services) {
+    for (const auto& [reason, count] : values.hedges.blocked) {
+      fmt::format_to(
+          std::back_inserter(text),
+          "mimosagauge_hedges_blocked_total{{service=\"{}\",reason=\"{}\"}} "
+          "{}\n",
+          service.value(), reason, count);
+    }
+  }
+}
+
 }  // namespace
 
 TimeSummary::TimeSummary()
@@ -109,6 +167,7 @@
   std::string text;
   AppendCounters(text, metrics);
   AppendRefusals(text, metrics);
+  AppendHedges(text, metrics);
   AppendSummary(text, metrics, "first_byte",
                 "Time from arrival to the answer's first byte.",
                 &ServiceMetrics::first_byte);
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -21,18 +21,6 @@
           record.visited};
 }
 
-// Returns the need together with the prompt and the tie-breaking values that
-// the choice among upstreams takes into account.
-[[nodiscard]] UpstreamNeed PlacementNeedOf(const Gateway& gateway,
-                                           const RequestRecord& record) {
-  UpstreamNeed need = NeedOf(record);
-  const Prompt& prompt = record.arrival.head->prompt;
-  need.prompt = prompt.tokens_in > 0 ? &prompt : nullptr;
-  need.draw = record.arrival.number.value() * 2 + record.attempts;
-  need.spread = gateway.config.limits.placement_spread;
-  return need;
-}
-
 [[nodiscard]] Bytes RemainingWindow(const Gateway& gateway,
                                     const RequestRecord& record) {
   return gateway.config.limits.stream_window - record.unconsumed;
@@ -58,6 +46,18 @@
   return number;
 }
 
+}  // namespace
+
+UpstreamNeed PlacementNeedOf(const Gateway& gateway,
+                             const RequestRecord& record) {
+  UpstreamNeed need = NeedOf(record);
+  const Prompt& prompt = record.arrival.head->prompt;
+  need.prompt = prompt.tokens_in > 0 ? &prompt : nullptr;
+  need.draw = record.arrival.number.value() * 2 + record.attempts;
+  need.spread = gateway.config.limits.placement_spread;
+  return need;
+}
+
 void StartOnUpstream(StepContext& context, RequestRecord& record,
                      const UpstreamChoice& choice) {
   Gateway& gateway = context.gateway;
@@ -88,8 +88,11 @@
     }
   }
   context.effects.emplace_back(ForUpstreams{std::move(start)});
+  ScheduleHedge(context, record);
 }
 
+namespace {
+
 // Factor by which the expected end of an answer may be wrong.
 constexpr double kEstimateErrorFactor = 1.3;
 // Fraction of an engine's time spent reading prompts above which generations
--- a/src/decisions/gateway_request.cc
+++ b/src/decisions/gateway_request.cc
@@ -107,13 +107,19 @@
 }
 
 void CancelRunningAttempt(StepContext& context, RequestRecord& record) {
-  if (!record.running) {
-    return;
+  for (std::optional<Attempt>* attempt : {&record.hedge, &record.running}) {
+    if (*attempt) {
+      CancelRemovedAttempt(context, record,
+                           *std::exchange(*attempt, std::nullopt), false);
+    }
   }
-  Attempt attempt = *record.running;
-  const bool overdue = IsOverdue(attempt, context.now);
+}
+
+void CancelRemovedAttempt(StepContext& context, RequestRecord& record,
+                          Attempt attempt, bool failed) {
+  RecordUnansweredAttempt(context, record, attempt);
+  const bool overdue = failed || IsOverdue(attempt, context.now);
   MarkPromptRead(context, attempt, false);
-  record.running.reset();
   context.gateway.attempts.erase(attempt.number);
   // The upstream may already have received the request.
   RecordRunState(record.outcome, RunState::kUnknown);
@@ -139,6 +145,10 @@
   if (record->queue_position) {
     RemoveWaiting(context.gateway.waiting, *record->queue_position);
   }
+  RemoveHedgeCheck(context.gateway, *record);
+  if (record->hedged && !record->hedge_won) {
+    ++MetricsOf(context.gateway, *record).hedges.lost;
+  }
   context.gateway.deadlines.erase({record->due, number});
   context.gateway.requests.erase(number);
 }
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -201,6 +201,22 @@
          upstream.limit;
 }
 
+// Whether the upstream can run another request at once and at full speed, as
+// far as its last report and the digests of the other instances show.
+[[nodiscard]] bool HasSpareSlot(const UpstreamState& upstream, TimePoint now) {
+  const LoadReport& report = upstream.load.report;
+  const bool reports_full =
+      HasRecentReport(upstream.load, now) &&
+      (report.waiting > 0 ||
+       (report.slots > 0 && report.running >= report.slots));
+  const std::size_t others =
+      LoadOfOtherInstances(upstream.load,
+                           upstream.kind == UpstreamKind::kEngine, now)
+          .in_flight;
+  return !reports_full && !IsRateLimited(upstream.rate, now) &&
+         upstream.in_flight + others < upstream.config.concurrency;
+}
+
 // The upstream that every instance prefers for the most specific shared part of
 // a prompt, by rendezvous hashing; null when the prompt has no such part.
 [[nodiscard]] const UpstreamState* FindPreferred(
@@ -320,7 +336,8 @@
   std::vector<const UpstreamState*> usable;
   AnyUpstreamOffering(table, need, [&](const UpstreamState& upstream) {
     if (IsBelowLimit(upstream, now) &&
-        IsUsableNow(upstream, need, region, now)) {
+        IsUsableNow(upstream, need, region, now) &&
+        (!need.only_spare || HasSpareSlot(upstream, now))) {
       usable.push_back(&upstream);
     }
     return false;
