--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -99,6 +99,13 @@
   double slack = 10;   ///< Beyond that, in any window.
 };
 
+/// \brief Second attempts of requests whose answers are late.
+struct HedgingSettings {
+  Share limit;  ///< Of the first attempts of a service; zero: none.
+  Share percentile{HedgingConfig{}.percentile};
+  Duration min_delay = HedgingConfig{}.min_delay;
+};
+
 /// \brief What is assumed of upstreams until their answers show it.
 struct EngineSettings {
   double prompt_tokens_per_ms = EngineSpeeds{}.prompt_tokens_per_ms;
@@ -150,6 +157,7 @@
   bool one_thread = false;   ///< All duties share one event loop.
   bool plain_links = false;  ///< Links need no TLS: the network is trusted.
   RetrySettings retries;
+  HedgingSettings hedging;
   EngineSettings engines;
   std::string operator_token;
   /// Shared by all instances; signs the tickets of idempotency keys. Empty: no
--- a/src/duties/instance.cc
+++ b/src/duties/instance.cc
@@ -381,6 +381,9 @@
   config.limits.due_grace = settings.limits.due_grace;
   config.limits.retry_ratio = settings.retries.ratio;
   config.limits.retry_slack = settings.retries.slack;
+  config.limits.hedging = {settings.hedging.limit.value(),
+                           settings.hedging.percentile.value(),
+                           settings.hedging.min_delay};
   if (settings.dialect == PlatformDialect::kFleet) {
     config.limits.placement_spread = kPlacementSpread;
   }
--- a/src/settings/contradictions.cc
+++ b/src/settings/contradictions.cc
@@ -184,6 +184,30 @@
   }
 }
 
+void CheckHedging(const Settings& settings, SettingsReport& report) {
+  const HedgingSettings& hedging = settings.hedging;
+  if (hedging.limit.value() > settings.retries.ratio) {
+    AddFault(report, "hedging.limit",
+             "'hedging.limit' is above 'retries.ratio', from which second "
+             "attempts are taken too",
+             "lower it, or raise retries.ratio");
+  }
+  constexpr double kMinPercentile = 0.5;
+  constexpr double kMaxPercentile = 0.999;
+  if (hedging.percentile.value() < kMinPercentile ||
+      hedging.percentile.value() > kMaxPercentile) {
+    AddFault(report, "hedging.percentile",
+             "'hedging.percentile' does not tell late answers from usual ones",
+             "write a percentile from 50% to 99.9%");
+  }
+  if (hedging.min_delay < std::chrono::milliseconds(1)) {
+    AddFault(report, "hedging.min_delay",
+             "'hedging.min_delay' is below 1ms, the least time in which an "
+             "answer can be late",
+             "write a time of 1ms or more");
+  }
+}
+
 void CheckPeers(const Settings& settings, SettingsReport& report, Seen& seen) {
   Seen ids{{settings.instance.value(), "instance"}};
   for (std::size_t i = 0; i < settings.peers.size(); ++i) {
@@ -404,6 +428,7 @@
   CheckPlatform(settings, report, endpoints);
   CheckOwnDialect(settings, report);
   CheckRetries(settings.retries, report);
+  CheckHedging(settings, report);
   CheckPeers(settings, report, endpoints);
   CheckUpstreams(settings, report, endpoints);
   CheckAccounts(settings, report);
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -228,6 +228,11 @@
     Read(*section, "ratio", settings.retries.ratio);
     Read(*section, "slack", settings.retries.slack);
   }
+  if (auto section = OpenSection(file, "hedging")) {
+    Read(*section, "limit", settings.hedging.limit);
+    Read(*section, "percentile", settings.hedging.percentile);
+    Read(*section, "min_delay", settings.hedging.min_delay);
+  }
   if (auto section = OpenSection(file, "engines")) {
     Read(*section, "prompt_tokens_per_ms",
          settings.engines.prompt_tokens_per_ms);
