--- a/include/mimosagauge/impl/decisions/hedging/hedging.h
+++ b/include/mimosagauge/impl/decisions/hedging/hedging.h
@@ -59,7 +59,7 @@
 
 /// \brief State of hedging at one service.
 struct ServiceHedging {
-  std::array<StartTimes, kSizeClasses> times;  ///< By size class.
+  std::array<StartTimes, kStartSizeClasses> times;  ///< By size class.
   HedgeBudget budget;
 };
 
--- a/include/mimosagauge/impl/decisions/hedging/start_times.h
+++ b/include/mimosagauge/impl/decisions/hedging/start_times.h
@@ -45,11 +45,11 @@
 
 /// \brief Classes of requests by size, since queueing adds the same time to
 /// short and to long ones, and so has a different ratio to their references.
-inline constexpr std::size_t kSizeClasses = 3;
+inline constexpr std::size_t kStartSizeClasses = 3;
 
-/// \returns The class of a request, below `kSizeClasses`.
+/// \returns The class of a request, below `kStartSizeClasses`.
 /// \param shortest Reference of the shortest request to the service.
-[[nodiscard]] std::size_t SizeClass(Duration reference, Duration shortest);
+[[nodiscard]] std::size_t StartSizeClass(Duration reference, Duration shortest);
 
 }  // namespace mimosagauge
 
--- a/src/decisions/gateway_hedging.cc
+++ b/src/decisions/gateway_hedging.cc
@@ -99,8 +99,8 @@
   }
   ServiceHedging& service = gateway.hedging.services[record.verdict.service];
   RecordStartTime(
-      service.times.at(
-          SizeClass(attempt.reference, ShortestReference(gateway, *upstream))),
+      service.times.at(StartSizeClass(attempt.reference,
+                                      ShortestReference(gateway, *upstream))),
       attempt.reference, context.now - attempt.started, context.now);
 }
 
--- a/src/decisions/hedging/hedging.cc
+++ b/src/decisions/hedging/hedging.cc
@@ -105,7 +105,8 @@
                                   const HedgingConfig& config,
                                   Duration reference, Duration shortest,
                                   TimePoint now) {
-  const StartTimes& times = service.times.at(SizeClass(reference, shortest));
+  const StartTimes& times =
+      service.times.at(StartSizeClass(reference, shortest));
   const auto percentile =
       StartTimePercentile(times, config.percentile, reference, now);
   return percentile ? std::optional(std::max(config.min_delay, *percentile))
--- a/src/decisions/hedging/start_times.cc
+++ b/src/decisions/hedging/start_times.cc
@@ -95,7 +95,7 @@
       std::max(reference, kMinReference) * UpperEdge(bin));
 }
 
-std::size_t SizeClass(Duration reference, Duration shortest) {
+std::size_t StartSizeClass(Duration reference, Duration shortest) {
   const double factor = Ratio(reference, shortest);
   if (factor < kMediumFactor) {
     return 0;
--- a/tests/unit/hedging_test.cc
+++ b/tests/unit/hedging_test.cc
@@ -61,7 +61,7 @@
   ServiceHedging service;
   const auto add = [&](Duration reference, Duration taken) {
     for (int i = 0; i < 100; ++i) {
-      RecordStartTime(service.times.at(SizeClass(reference, shortest)),
+      RecordStartTime(service.times.at(StartSizeClass(reference, shortest)),
                       reference, taken, kStart);
     }
   };
