--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -26,6 +26,7 @@
 #include "mimosagauge/impl/decisions/freshness/freshness.h"
 #include "mimosagauge/impl/decisions/freshness/written_answers.h"
 #include "mimosagauge/impl/decisions/gateway_metrics.h"
+#include "mimosagauge/impl/decisions/hedging/hedging.h"
 #include "mimosagauge/impl/decisions/once/claim_committer.h"
 #include "mimosagauge/impl/decisions/once/key_table.h"
 #include "mimosagauge/impl/decisions/outcome.h"
@@ -53,6 +54,8 @@
   UpstreamStart start{};  ///< Of the upstream when the attempt was started.
   bool paused_upstream = false;  ///< The upstream asked for a pause in its
                                  ///< answer, which is not a failure.
+  Duration reference{};   ///< Time until the answer begins at an idle upstream.
+  bool is_hedge = false;  ///< It was started because another attempt is late.
 };
 
 /// \brief State of a request that has an idempotency key.
@@ -82,6 +85,13 @@
   Duration time_to_head{};         ///< Time from arrival to the answer's head;
                                    ///< zero: no head was received yet.
   std::optional<Attempt> running;  ///< The running attempt, if any.
+  /// A second running attempt, at another upstream. Set only while `running` is
+  /// set and neither has a usable answer.
+  std::optional<Attempt> hedge;
+  bool hedged = false;     ///< A hedge was started.
+  bool hedge_won = false;  ///< The answer is the hedge's.
+  /// When the request is checked for a second attempt; empty: it is not.
+  std::optional<TimePoint> hedge_check_at;
   /// Position in the waiting queue; empty: the request does not wait.
   std::optional<QueuedRequest> queue_position;
   TimePoint wait_until{};  ///< When a request that still waits is refused;
@@ -170,6 +180,7 @@
   KeyTable keys;
   ClaimCommitter claims;
   std::unordered_map<ServiceId, RetryBudget> budgets;
+  HedgingState hedging;
   PoisonTable poison;
   PlacementState placement;
   /// Requests lost at upstreams of which it is not known yet whether their
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -89,6 +89,8 @@
   /// Whether load and availability zone also decide between upstreams that are
   /// about equal; for a table that contains the load of all instances.
   bool balance = false;
+  /// Whether only upstreams qualify that have a free slot and no rate limit.
+  bool only_spare = false;
 };
 
 /// \brief The upstream chosen for a request, with its latency estimate.
--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -115,6 +115,13 @@
   double reserve = AllowanceSettings{}.reserve;  ///< From 0 to below 1.
 };
 
+/// \brief Second attempts of requests whose answers are late.
+struct HedgingSettings {
+  Share limit;  ///< Of the first attempts of a service; zero: none.
+  Share percentile{HedgingConfig{}.percentile};
+  Duration min_delay = HedgingConfig{}.min_delay;
+};
+
 /// \brief What is assumed of upstreams until their answers show it.
 struct EngineSettings {
   double prompt_tokens_per_ms = EngineSpeeds{}.prompt_tokens_per_ms;
@@ -169,6 +176,7 @@
   RevocationSettings revocation;
   /// Empty: allowances are not enforced.
   std::optional<AllowanceSectionSettings> allowances;
+  HedgingSettings hedging;
   EngineSettings engines;
   PlacementSettings placement;
   std::string operator_token;
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -287,6 +287,8 @@
   detail::ContinueDrain(context);
   detail::Dispatch(context);
   detail::CoordinatePlacement(context);
+  // After dispatching, so that a waiting request gets a free slot first.
+  detail::StartDueHedges(context);
   detail::SendLoadDigests(context);
   detail::SendTrafficMessages(context);
   detail::MaintainConfirmation(context);
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -218,8 +218,21 @@
   }
 }
 
+// Ends the running attempt, whose answer reports an error of the upstream.
+void DiscardErrorResponse(StepContext& context, RequestRecord& record) {
+  const AttemptNumber number = record.running->number;
+  context.effects.emplace_back(ForUpstreams{CancelAttempt{number}});
+  const bool paused = record.running->paused_upstream;
+  FinishAttempt(context, record, [&](const UpstreamId& id) {
+    RecordErrorResponse(context, id, paused);
+  });
+  record.last_failure =
+      "the upstream answered with status 500, 502, 503 or 504";
+}
+
 // Retries the request elsewhere if the upstream answered with a temporary error
-// and another upstream may serve it. Returns whether the request was retried.
+// and another upstream may serve it, or lets it go on with its other attempt.
+// Returns whether the answer was discarded.
 [[nodiscard]] bool RetryElsewhere(StepContext& context, RequestRecord& record,
                                   std::uint16_t status) {
   const bool is_retryable =
@@ -228,6 +241,11 @@
   if (!is_retryable || !IsOnUpstream(record)) {
     return false;
   }
+  if (record.hedge) {
+    ++record.runs;
+    DiscardErrorResponse(context, record);
+    return PromoteHedge(context, record);
+  }
   if (!HasAlternative(context, record)) {
     return false;
   }
@@ -235,14 +253,7 @@
   if (!AllowRetry(context, record, RunState::kRan, true)) {
     return false;
   }
-  const AttemptNumber number = record.running->number;
-  context.effects.emplace_back(ForUpstreams{CancelAttempt{number}});
-  const bool paused = record.running->paused_upstream;
-  FinishAttempt(context, record, [&](const UpstreamId& id) {
-    RecordErrorResponse(context, id, paused);
-  });
-  record.last_failure =
-      "the upstream answered with status 500, 502, 503 or 504";
+  DiscardErrorResponse(context, record);
   PlaceFurtherRun(context, record, RunState::kRan);
   return true;
 }
@@ -285,8 +296,10 @@
   if (record == nullptr) {
     return;
   }
+  SelectAttempt(*record, event.attempt);
   RecordRunState(record->outcome, RunState::kRan);
   record->running->has_error_status = event.head.status >= kServerError;
+  RecordAnswerStart(context, *record);
   DisproveLoss(context, *record->running);
   ReportBegun(context, *record);
   UpdateUpstreamLoad(context, *record, event.load);
@@ -306,6 +319,7 @@
     return;
   }
   if (!RetryElsewhere(context, *record, event.head.status)) {
+    SettleRace(context, *record);
     StartAnswer(context, *record, std::move(event.head));
   }
 }
@@ -341,6 +355,7 @@
   if (record == nullptr) {
     return;
   }
+  SelectAttempt(*record, event.attempt);
   MarkBodyBegun(context, *record);
   const Duration elapsed = context.now - record->running->started;
   const bool has_error_status = record->running->has_error_status;
@@ -358,6 +373,10 @@
   if (record->outcome.phase != AnswerPhase::kAnswering) {
     record->last_failure =
         "the answer ended before its status and header fields were received";
+    if (PromoteHedge(context, *record)) {
+      ++record->runs;
+      return RecordRunState(record->outcome, RunState::kUnknown);
+    }
     return RefuseOrAbort(
         context, *record,
         AttemptsFailed(record->last_failure, record->outcome.run));
@@ -397,6 +416,7 @@
   if (record == nullptr) {
     return;
   }
+  SelectAttempt(*record, event.attempt);
   RecordRunState(record->outcome, event.run);
   const bool owner_gave_no_answer =
       record->keyed && record->keyed->forwarded && !event.problem;
@@ -425,6 +445,9 @@
       Handle(context, UpstreamRemoved{id});
     }
   });
+  if (PromoteHedge(context, *record)) {
+    return;
+  }
   if (suspected) {
     // Another upstream would probably be lost too.
     return RefuseOrAbort(
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -236,6 +236,7 @@
     }
   }
   context.effects.emplace_back(ForUpstreams{std::move(start)});
+  ScheduleHedge(context, record);
 }
 
 bool IsForwardingAllowed(const RequestRecord& record) noexcept {
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -238,6 +238,11 @@
     Read(*section, "slack", allowances.slack);
     Read(*section, "reserve", allowances.reserve);
   }
+  if (auto section = OpenSection(file, "hedging")) {
+    Read(*section, "limit", settings.hedging.limit);
+    Read(*section, "percentile", settings.hedging.percentile);
+    Read(*section, "min_delay", settings.hedging.min_delay);
+  }
   if (auto section = OpenSection(file, "engines")) {
     Read(*section, "prompt_tokens_per_ms",
          settings.engines.prompt_tokens_per_ms);
