Report engines' loads and paces to placement coordinators

Cause: load reports and the pace of machines were known only to the instance that got the response. The coordinator, which places for all, had those of its own requests, and could not see requests at an engine that nobody reported.

Change: with the report that a response has begun, an instance sends the last load report of the engine (16 bytes; at most one of each engine in a message). The coordinator records the pace, and counts requests beyond those it knows where all reports of 100 ms show them, since reports of ends may be faster than a load report. The simulated engines of the tests report their load. That the slowness of engines is learned from the responses of all instances was already so and has a test now.

--- a/include/mimosagauge/impl/decisions/coordination/coordinator.h
+++ b/include/mimosagauge/impl/decisions/coordination/coordinator.h
@@ -61,6 +61,15 @@
   TimePoint next_return{};
 };
 
+/// \brief Requests that an engine reports beyond those that the coordinator
+/// knows. A load report is up to 20 ms and one hop older than the reports of
+/// ends, so that only an excess which lasts is one.
+struct UnknownRequests {
+  std::size_t counted = 0;  ///< Shown by all reports for at least one window.
+  std::size_t lowest = 0;   ///< Of the reports since `window_start`.
+  TimePoint window_start{};
+};
+
 /// \brief A granted request is known by its instance and number.
 using PlacementKey = std::pair<InstanceId, PlacementNumber>;
 
@@ -83,6 +92,7 @@
   /// When each waiting request is refused.
   std::set<std::pair<TimePoint, RequestNumber>> give_ups;
   std::map<ServiceId, ServicePace> paces;
+  std::unordered_map<UpstreamHash, UnknownRequests> unknown;
   std::set<ServiceId> freed;  ///< Services with new capacity.
   RequestNumber last_waiting;
   std::uint64_t draws = 0;  ///< Draws for Retry-After made so far.
--- a/include/mimosagauge/impl/decisions/coordination/messages.h
+++ b/include/mimosagauge/impl/decisions/coordination/messages.h
@@ -10,6 +10,7 @@
 
 #include "mimosagauge/impl/core/ids.h"
 #include "mimosagauge/impl/core/time.h"
+#include "mimosagauge/impl/decisions/engine_load.h"
 #include "mimosagauge/impl/decisions/request.h"
 #include "mimosagauge/impl/rules/verdict.h"
 
@@ -76,6 +77,12 @@
   Duration remaining{};             ///< Time until the response is due.
 };
 
+/// \brief The load that an engine reported with a response.
+struct PlacementLoad {
+  UpstreamHash upstream;
+  LoadReport report;
+};
+
 /// \brief All that one instance has to tell another one about placement.
 struct PlacementMessage {
   std::vector<PlacementRequest> requests;
@@ -91,6 +98,7 @@
   /// the coordinator; what it does not contain has ended.
   std::vector<ServiceId> state_of;
   std::vector<PlacementNumber> pending;  ///< Requests without a final answer.
+  std::vector<PlacementLoad> loads;      ///< At most one of each engine.
   bool probe = false;    ///< The receiver shall respond with `alive`.
   bool alive = false;    ///< The sender responds.
   bool waiting = false;  ///< Requests wait at the sender, so that ends of
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -156,6 +156,9 @@
                  const UpstreamState& upstream);
 /// \brief Reports that the response of the running attempt has begun.
 void ReportBegun(StepContext& context, RequestRecord& record);
+/// \brief Reports the load that an engine stated with a response.
+void ReportLoad(StepContext& context, const UpstreamState& upstream,
+                const LoadReport& report);
 /// \brief Reports that the attempt has ended, or that the request does not
 /// wait for an answer any more; has no effect when there is nothing to report.
 void ReportEnd(StepContext& context, RequestRecord& record);
--- a/include/mimosagauge/impl/wire/placement_generated.h
+++ b/include/mimosagauge/impl/wire/placement_generated.h
@@ -27,6 +27,8 @@
 
 struct PlacementRunning;
 
+struct PlacementLoad;
+
 struct PlacementMessage;
 struct PlacementMessageBuilder;
 
@@ -208,6 +210,52 @@
   using type = PlacementRunning;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint16_t running_;
+  uint16_t waiting_;
+  uint16_t slots_;
+  uint16_t slowdown_percent_;
+
+ public:
+  struct Traits;
+  PlacementLoad()
+      : upstream_(0),
+        running_(0),
+        waiting_(0),
+        slots_(0),
+        slowdown_percent_(0) {
+  }
+  PlacementLoad(uint64_t _upstream, uint16_t _running, uint16_t _waiting, uint16_t _slots, uint16_t _slowdown_percent)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        running_(flatbuffers::EndianScalar(_running)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        slots_(flatbuffers::EndianScalar(_slots)),
+        slowdown_percent_(flatbuffers::EndianScalar(_slowdown_percent)) {
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint16_t slots() const {
+    return flatbuffers::EndianScalar(slots_);
+  }
+  uint16_t slowdown_percent() const {
+    return flatbuffers::EndianScalar(slowdown_percent_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementLoad, 16);
+
+struct PlacementLoad::Traits {
+  using type = PlacementLoad;
+};
+
 struct PlacementRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementRequestBuilder Builder;
   struct Traits;
@@ -442,7 +490,8 @@
     VT_PENDING = 18,
     VT_PROBE = 20,
     VT_ALIVE = 22,
-    VT_WAITING = 24
+    VT_WAITING = 24,
+    VT_LOADS = 26
   };
   const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::PlacementRequest>> *requests() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosagauge::wire::PlacementRequest>> *>(VT_REQUESTS);
@@ -477,6 +526,9 @@
   bool waiting() const {
     return GetField<uint8_t>(VT_WAITING, 0) != 0;
   }
+  const flatbuffers::Vector<const mimosagauge::wire::PlacementLoad *> *loads() const {
+    return GetPointer<const flatbuffers::Vector<const mimosagauge::wire::PlacementLoad *> *>(VT_LOADS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUESTS) &&
@@ -500,6 +552,8 @@
            VerifyField<uint8_t>(verifier, VT_PROBE, 1) &&
            VerifyField<uint8_t>(verifier, VT_ALIVE, 1) &&
            VerifyField<uint8_t>(verifier, VT_WAITING, 1) &&
+           VerifyOffset(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
            verifier.EndTable();
   }
 };
@@ -541,6 +595,9 @@
   void add_waiting(bool waiting) {
     fbb_.AddElement<uint8_t>(PlacementMessage::VT_WAITING, static_cast<uint8_t>(waiting), 0);
   }
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PlacementLoad *>> loads) {
+    fbb_.AddOffset(PlacementMessage::VT_LOADS, loads);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -564,8 +621,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> pending = 0,
     bool probe = false,
     bool alive = false,
-    bool waiting = false) {
+    bool waiting = false,
+    flatbuffers::Offset<flatbuffers::Vector<const mimosagauge::wire::PlacementLoad *>> loads = 0) {
   PlacementMessageBuilder builder_(_fbb);
+  builder_.add_loads(loads);
   builder_.add_pending(pending);
   builder_.add_state_of(state_of);
   builder_.add_running(running);
@@ -597,7 +656,8 @@
     const std::vector<uint64_t> *pending = nullptr,
     bool probe = false,
     bool alive = false,
-    bool waiting = false) {
+    bool waiting = false,
+    const std::vector<mimosagauge::wire::PlacementLoad> *loads = nullptr) {
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<mimosagauge::wire::PlacementRequest>>(*requests) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PlacementAnswer>(*answers) : 0;
   auto begun__ = begun ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PlacementBegun>(*begun) : 0;
@@ -606,6 +666,7 @@
   auto running__ = running ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PlacementRunning>(*running) : 0;
   auto state_of__ = state_of ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*state_of) : 0;
   auto pending__ = pending ? _fbb.CreateVector<uint64_t>(*pending) : 0;
+  auto loads__ = loads ? _fbb.CreateVectorOfStructs<mimosagauge::wire::PlacementLoad>(*loads) : 0;
   return mimosagauge::wire::CreatePlacementMessage(
       _fbb,
       requests__,
@@ -618,7 +679,8 @@
       pending__,
       probe,
       alive,
-      waiting);
+      waiting,
+      loads__);
 }
 
 inline const mimosagauge::wire::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/src/decisions/coordination/ledger.cc
+++ b/src/decisions/coordination/ledger.cc
@@ -13,6 +13,9 @@
 constexpr int kHoldDivisor = 32;
 constexpr Duration kMinHold = std::chrono::milliseconds(20);
 
+// Time for which an engine has to report more requests than are known.
+constexpr Duration kUnknownWindow = std::chrono::milliseconds(100);
+
 [[nodiscard]] bool Contains(const std::vector<PlacementNumber>& numbers,
                             PlacementNumber number) {
   return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
@@ -95,6 +98,30 @@
   }
 }
 
+// Records an engine's own count of its requests and the pace of its machine.
+void RecordLoad(Coordinator& coordinator, const PlacementLoad& load,
+                TimePoint now) {
+  UpstreamState* engine = FindUpstream(coordinator.engines, load.upstream);
+  if (engine == nullptr) {
+    return;
+  }
+  if (load.report.slowdown) {
+    RecordPace(engine->pace, coordinator.engines.pace_persistence,
+               *load.report.slowdown, now);
+  }
+  const std::size_t total = load.report.running + load.report.waiting;
+  const std::size_t excess = total - std::min(total, engine->in_flight);
+  UnknownRequests& unknown = coordinator.unknown[load.upstream];
+  if (now - unknown.window_start >= kUnknownWindow) {
+    const bool lasted = now - unknown.window_start < 2 * kUnknownWindow;
+    unknown = {lasted ? std::min(unknown.lowest, excess) : 0, excess, now};
+  } else {
+    unknown.lowest = std::min(unknown.lowest, excess);
+    unknown.counted = std::min(unknown.counted, excess);
+  }
+  RecordLoadReport(engine->load, load.report, total - unknown.counted, now);
+}
+
 void RecordRunning(Coordinator& coordinator, const InstanceId& from,
                    const PlacementRunning& running, TimePoint now) {
   const PlacementKey key{from, running.number};
@@ -125,6 +152,7 @@
   }
   engine.load.slowness = known.load.slowness;
   engine.load.slowness_samples = known.load.slowness_samples;
+  engine.pace = known.pace;
 }
 
 }  // namespace
@@ -183,6 +211,9 @@
 void AdoptEngines(Coordinator& coordinator, const UpstreamTable& upstreams,
                   TimePoint now) {
   coordinator.engines.speeds = upstreams.speeds;
+  if (coordinator.engines.upstreams.empty()) {
+    coordinator.engines.pace_persistence = upstreams.pace_persistence;
+  }
   std::vector<UpstreamId> gone;
   for (const UpstreamState& engine : coordinator.engines.upstreams) {
     const auto found = upstreams.index.find(engine.config.id);
@@ -193,6 +224,7 @@
   }
   for (const UpstreamId& id : gone) {
     EraseUpstream(coordinator.engines, id);
+    coordinator.unknown.erase(HashUpstreamId(id));
   }
   for (const UpstreamState& known : upstreams.upstreams) {
     if (known.kind != UpstreamKind::kEngine) {
@@ -260,6 +292,9 @@
     EndWait(coordinator, {from, number});
     detail::EndGrant(coordinator, {from, number}, now);
   }
+  for (const PlacementLoad& load : message.loads) {
+    RecordLoad(coordinator, load, now);
+  }
 }
 
 void RemoveInstancePlacements(Coordinator& coordinator,
--- a/src/decisions/gateway_attempts.cc
+++ b/src/decisions/gateway_attempts.cc
@@ -263,6 +263,7 @@
       RecordPace(upstream->pace, context.gateway.upstreams.pace_persistence,
                  *report->slowdown, context.now);
     }
+    ReportLoad(context, *upstream, *report);
   }
 }
 
--- a/src/decisions/gateway_coordination.cc
+++ b/src/decisions/gateway_coordination.cc
@@ -302,6 +302,26 @@
   }
 }
 
+void ReportLoad(StepContext& context, const UpstreamState& upstream,
+                const LoadReport& report) {
+  const auto& coordinators = context.gateway.placement.coordinators;
+  const auto coordinator = coordinators.find(upstream.config.service);
+  if (coordinator == coordinators.end()) {
+    return;
+  }
+  const UpstreamHash hash = HashUpstreamId(upstream.config.id);
+  std::vector<PlacementLoad>& loads =
+      Report(context, coordinator->second).loads;
+  const auto earlier = std::find_if(
+      loads.begin(), loads.end(),
+      [hash](const PlacementLoad& load) { return load.upstream == hash; });
+  if (earlier == loads.end()) {
+    loads.push_back({hash, report});
+  } else {
+    earlier->report = report;
+  }
+}
+
 void ReportEnd(StepContext& context, RequestRecord& record) {
   RequestPlacement& placement = record.placement;
   Gateway& gateway = context.gateway;
--- a/src/decisions/gateway_coordinator.cc
+++ b/src/decisions/gateway_coordinator.cc
@@ -140,7 +140,8 @@
 [[nodiscard]] bool IsForCoordinator(const PlacementMessage& message) {
   return !message.requests.empty() || !message.begun.empty() ||
          !message.ended.empty() || !message.refused.empty() ||
-         !message.running.empty() || !message.state_of.empty();
+         !message.running.empty() || !message.state_of.empty() ||
+         !message.loads.empty();
 }
 
 // Updates this instance's view of the engines as a coordinator.
--- a/src/wire/placement_codec.cc
+++ b/src/wire/placement_codec.cc
@@ -69,6 +69,33 @@
   }
 }
 
+constexpr double kPercent = 100;
+
+[[nodiscard]] std::uint16_t ToShortCount(std::size_t count) {
+  return static_cast<std::uint16_t>(std::min<std::size_t>(count, UINT16_MAX));
+}
+
+[[nodiscard]] wire::PlacementLoad WriteLoad(const PlacementLoad& load) {
+  const LoadReport& report = load.report;
+  // A report of zero would read as none.
+  const double percent = report.slowdown
+                             ? std::clamp(*report.slowdown * kPercent, 1.0,
+                                          static_cast<double>(UINT16_MAX))
+                             : 0;
+  return {load.upstream.value(), ToShortCount(report.running),
+          ToShortCount(report.waiting), ToShortCount(report.slots),
+          static_cast<std::uint16_t>(percent)};
+}
+
+[[nodiscard]] PlacementLoad ReadLoad(const wire::PlacementLoad& load) {
+  PlacementLoad read{UpstreamHash{load.upstream()},
+                     {load.running(), load.waiting(), load.slots(), {}}};
+  if (load.slowdown_percent() > 0) {
+    read.report.slowdown = load.slowdown_percent() / kPercent;
+  }
+  return read;
+}
+
 [[nodiscard]] Offset<wire::PlacementRequest> WriteRequest(
     FlatBufferBuilder& builder, const PlacementRequest& request) {
   std::vector<wire::PlacementPart> parts;
@@ -165,6 +192,10 @@
     running.emplace_back(one.number.value(), one.upstream.value(),
                          ToWire(one.remaining), one.unread_tokens);
   }
+  std::vector<wire::PlacementLoad> loads;
+  for (const PlacementLoad& one : message.loads) {
+    loads.push_back(WriteLoad(one));
+  }
   std::vector<Offset<flatbuffers::String>> services;
   for (const ServiceId& service : message.state_of) {
     services.push_back(builder.CreateString(service.value()));
@@ -181,10 +212,11 @@
   const Services state_of =
       services.empty() ? Services() : builder.CreateVector(services);
   const auto pending = WriteNumbers(builder, message.pending);
+  const auto load_list = WriteStructs(builder, loads);
   builder.Finish(wire::CreatePlacementMessage(
       builder, request_list, answer_list, begun_list, ended, refused,
       running_list, state_of, pending, message.probe, message.alive,
-      message.waiting));
+      message.waiting, load_list));
   std::string bytes(kTagBytes, kPlacementTag);
   bytes.append(builder.GetBufferPointer(),
                builder.GetBufferPointer() + builder.GetSize());
@@ -235,6 +267,11 @@
     }
   }
   ReadNumbers(table.pending(), message.pending);
+  if (table.loads() != nullptr) {
+    for (const wire::PlacementLoad* one : *table.loads()) {
+      message.loads.push_back(ReadLoad(*one));
+    }
+  }
   message.probe = table.probe();
   message.alive = table.alive();
   message.waiting = table.waiting();
--- a/tests/support/placement_region.cc
+++ b/tests/support/placement_region.cc
@@ -326,10 +326,13 @@
   // Between chunks of prompts all generations go on by one token only.
   engine.stalled += std::chrono::duration_cast<Duration>(reading * kStall);
   const Duration until_head = engine.reading_until - now_ + settings_.step;
-  After(until_head, [this, job] {
+  After(until_head, [this, index, job] {
     AnswerHead head;
     head.status = 200;
-    Post(job, AttemptHeadReceived{job.attempt, head, {}});
+    const Engine& now = engines_[index];
+    const LoadReport load{
+        now.running.size(), now.queue.size(), settings_.slots, {}};
+    Post(job, AttemptHeadReceived{job.attempt, head, load});
   });
   After(until_head + settings_.step * prompt.tokens_out,
         [this, index, job, stalled = engine.stalled] {
--- a/tests/unit/placement_coordinator_test.cc
+++ b/tests/unit/placement_coordinator_test.cc
@@ -7,6 +7,7 @@
 
 #include "mimosagauge/impl/decisions/coordination/coordinator.h"
 #include "mimosagauge/impl/decisions/coordination/selection.h"
+#include "mimosagauge/impl/wire/placement_codec.h"
 
 namespace mimosagauge {
 namespace {
@@ -250,6 +251,57 @@
   }
 }
 
+// Guards against placement by the paces that only the coordinator's own
+// requests have shown.
+TEST_CASE("load reports of other instances give the pace of engines") {
+  Bench bench(2);
+  const UpstreamHash slow = HashUpstreamId(UpstreamId{"e-0"});
+  PlacementMessage sent;
+  sent.loads = {{slow, {3, 1, 12, 4.0}}};
+  const PlacementMessage message =
+      DecodePlacementMessage(EncodePlacementMessage(sent)).value();
+  HandlePlacementReports(bench.coordinator, bench.now, kTwo, message);
+  const UpstreamState& engine = *FindUpstream(bench.coordinator.engines, slow);
+  CHECK(engine.pace.slowdown == Approx(4));
+  CHECK(engine.load.report.running == 3);
+  CHECK(engine.load.report.waiting == 1);
+  for (std::uint64_t number = 1; number < 5; ++number) {
+    CHECK(bench.Ask(kOne, number).upstream != slow);
+  }
+}
+
+// Guards against grants at an engine whose slots others use, and against
+// requests that have just ended being taken for such others.
+TEST_CASE("requests that an engine reports and nobody knows take its slots") {
+  const auto [reports, unknown] = GENERATE(
+      table<std::size_t, std::size_t>({{1, 0}, {2, 0}, {12, 13}, {24, 13}}));
+  CAPTURE(reports);
+  Bench bench(1);
+  const UpstreamHash hash = HashUpstreamId(UpstreamId{"e-0"});
+  PlacementMessage message;
+  message.loads = {{hash, {12, 1, 12, {}}}};
+  for (std::size_t i = 0; i < reports; ++i) {
+    HandlePlacementReports(bench.coordinator, bench.now, kTwo, message);
+    bench.now += milliseconds(10);
+  }
+  const UpstreamState& engine = *FindUpstream(bench.coordinator.engines, hash);
+  CHECK(LoadOfOtherInstances(engine.load, true, bench.now).in_flight ==
+        unknown);
+  message.loads.front().report.running = 0;
+  message.loads.front().report.waiting = 0;
+  HandlePlacementReports(bench.coordinator, bench.now, kTwo, message);
+  CHECK(LoadOfOtherInstances(engine.load, true, bench.now).in_flight == 0);
+}
+
+TEST_CASE("the slowness of engines is learned from all instances") {
+  Bench bench(1);
+  const PlacementAnswer answer = bench.Ask(kTwo, 1);
+  PlacementMessage message;
+  message.begun = {{PlacementNumber{1}, answer.start * 3}};
+  HandlePlacementReports(bench.coordinator, bench.now, kTwo, message);
+  CHECK(bench.coordinator.engines.upstreams.front().load.slowness == Approx(2));
+}
+
 TEST_CASE("a repeated request has one grant") {
   Bench bench(2);
   const PlacementAnswer first = bench.Ask(kOne, 1);
