Count parts as cached at a coordinator only where engines have read them

Cause: an engine without a part was estimated as if it had half of it where it was the preferred one of the part, as instances without a coordinator have to assume. Parts were therefore read at the preferred ones of the engines with room, which change as engines fill; and the measured starts there taught a slowness that the engines do not have. A part that a request was granted for also counted as cached when the engine refused the request or it was cancelled.

Change: the coordinator assumes nothing.

--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -87,7 +87,8 @@
   /// availability zone decide instead of the number.
   Duration spread{};
   /// Whether load and availability zone also decide between upstreams that are
-  /// about equal; for a table that contains the load of all instances.
+  /// about equal; for a table that contains the load of all instances and what
+  /// they sent, so that no engine is assumed to cache more than it shows.
   bool balance = false;
 };
 
