--- a/tests/unit/placement_coordinator_test.cc
+++ b/tests/unit/placement_coordinator_test.cc
@@ -7,6 +7,7 @@
 
 #include "mimosagauge/impl/decisions/coordination/coordinator.h"
 #include "mimosagauge/impl/decisions/coordination/selection.h"
+#include "mimosagauge/impl/wire/placement_codec.h"
 
 namespace mimosagauge {
 namespace {
@@ -250,6 +251,126 @@
   }
 }
 
+// Guards against reading parts again while all slots are taken, which makes
+// responses late that need no reading.
+TEST_CASE("a part is not read again at an engine without a free slot") {
+  const bool has_free_slot = GENERATE(true, false);
+  Bench bench(2);
+  PlacementRequest request;
+  request.service = ServiceId{"engines"};
+  request.prompt = {17020, 120, {{7, 13300}, {}}};
+  request.remaining = seconds(6);
+  request.start_within = seconds(2);
+  request.number = PlacementNumber{1};
+  const UpstreamHash home = bench.Ask(kOne, request).upstream;
+  PlacementMessage others;
+  for (const UpstreamState& engine : bench.coordinator.engines.upstreams) {
+    const UpstreamHash hash = HashUpstreamId(engine.config.id);
+    const std::size_t running = hash == home ? 13 : has_free_slot ? 11 : 12;
+    for (std::size_t i = 0; i < running; ++i) {
+      others.running.push_back(
+          {PlacementNumber{100 + others.running.size()}, hash, 0, seconds(5)});
+    }
+  }
+  HandlePlacementReports(bench.coordinator, bench.now, kTwo, others);
+  request.number = PlacementNumber{2};
+  REQUIRE(bench.Ask(kOne, request).decision == PlacementDecision::kQueued);
+  const auto wait_until = bench.coordinator.waiting.begin()->second;
+  bench.coordinator.freed.insert(request.service);
+  const PlacementAnswers answers =
+      bench.Advance(wait_until.hold_until - bench.now);
+  REQUIRE(answers.size() == (has_free_slot ? 1 : 0));
+  if (has_free_slot) {
+    CHECK(answers.front().answer.upstream != home);
+    return;
+  }
+  REQUIRE(bench.Advance(wait_until.give_up - bench.now).size() == 1);
+}
+
+// Guards against placement by the paces that only the coordinator's own
+// requests have shown.
+TEST_CASE("load reports of other instances give the pace of engines") {
+  Bench bench(2);
+  const UpstreamHash slow = HashUpstreamId(UpstreamId{"e-0"});
+  PlacementMessage sent;
+  sent.loads = {{slow, {3, 1, 12, 4.0}}};
+  const PlacementMessage message =
+      DecodePlacementMessage(EncodePlacementMessage(sent)).value();
+  HandlePlacementReports(bench.coordinator, bench.now, kTwo, message);
+  const UpstreamState& engine = *FindUpstream(bench.coordinator.engines, slow);
+  CHECK(engine.pace.slowdown == Approx(4));
+  CHECK(engine.load.report.running == 3);
+  CHECK(engine.load.report.waiting == 1);
+  for (std::uint64_t number = 1; number < 5; ++number) {
+    CHECK(bench.Ask(kOne, number).upstream != slow);
+  }
+}
+
+// Guards against grants at an engine whose slots others use, and against
+// requests that have just ended being taken for such others.
+TEST_CASE("requests that an engine reports and nobody knows take its slots") {
+  const auto [reports, unknown] = GENERATE(
+      table<std::size_t, std::size_t>({{1, 0}, {2, 0}, {12, 13}, {24, 13}}));
+  CAPTURE(reports);
+  Bench bench(1);
+  const UpstreamHash hash = HashUpstreamId(UpstreamId{"e-0"});
+  PlacementMessage message;
+  message.loads = {{hash, {12, 1, 12, {}}}};
+  for (std::size_t i = 0; i < reports; ++i) {
+    HandlePlacementReports(bench.coordinator, bench.now, kTwo, message);
+    bench.now += milliseconds(10);
+  }
+  const UpstreamState& engine = *FindUpstream(bench.coordinator.engines, hash);
+  CHECK(LoadOfOtherInstances(engine.load, true, bench.now).in_flight ==
+        unknown);
+  message.loads.front().report.running = 0;
+  message.loads.front().report.waiting = 0;
+  HandlePlacementReports(bench.coordinator, bench.now, kTwo, message);
+  CHECK(LoadOfOtherInstances(engine.load, true, bench.now).in_flight == 0);
+}
+
+TEST_CASE("the slowness of engines is learned from all instances") {
+  Bench bench(1);
+  const PlacementAnswer answer = bench.Ask(kTwo, 1);
+  PlacementMessage message;
+  message.begun = {{PlacementNumber{1}, answer.start * 3}};
+  HandlePlacementReports(bench.coordinator, bench.now, kTwo, message);
+  CHECK(bench.coordinator.engines.upstreams.front().load.slowness == Approx(2));
+}
+
+// Guards against sending requests after a part that no engine has read.
+TEST_CASE("a part counts as cached where an engine began to answer") {
+  enum class End { kRefused, kEnded, kBegun, kInstance };
+  const End end =
+      GENERATE(End::kRefused, End::kEnded, End::kBegun, End::kInstance);
+  CAPTURE(static_cast<int>(end));
+  Bench bench(1);
+  PlacementRequest request;
+  request.number = PlacementNumber{1};
+  request.service = ServiceId{"engines"};
+  request.prompt = {17020, 120, {{7, 13300}, {}}};
+  request.remaining = seconds(6);
+  request.start_within = milliseconds(800);
+  const PlacementAnswer first = bench.Ask(kOne, request);
+  CHECK(first.prompt_tokens == 17020);
+  // No engine is assumed to have it already.
+  CHECK(first.start >= milliseconds(340));
+  PlacementMessage message;
+  if (end == End::kBegun) {
+    message.begun = {{request.number, milliseconds(200)}};
+  }
+  (end == End::kRefused ? message.refused : message.ended) = {request.number};
+  if (end == End::kInstance) {
+    RemoveInstancePlacements(bench.coordinator, kOne);
+  } else {
+    HandlePlacementReports(bench.coordinator, bench.now, kOne, message);
+  }
+  bench.now += milliseconds(300);  // Beyond the backoff after a refusal.
+  request.number = PlacementNumber{2};
+  CHECK(bench.Ask(kTwo, request).prompt_tokens ==
+        (end == End::kBegun ? 3720 : 17020));
+}
+
 TEST_CASE("a repeated request has one grant") {
   Bench bench(2);
   const PlacementAnswer first = bench.Ask(kOne, 1);
