Hold polls as long as the bound of a deployment allows

Change: platform.change_within states the bound; beyond 3 s polls are held longer by the difference (3.5 s at 5 s). deploy/fleet.yaml gives it.

--- a/include/mimosagauge/impl/settings/settings.h
+++ b/include/mimosagauge/impl/settings/settings.h
@@ -170,6 +170,8 @@
   std::optional<Endpoint> metrics;
   PlatformDialect dialect = PlatformDialect::kOwn;
   Duration session = std::chrono::seconds(4);  ///< Lease of a registration.
+  /// Time within which a change in the store takes effect.
+  Duration change_within = std::chrono::seconds(3);
   bool one_thread = false;   ///< All duties share one event loop.
   bool plain_links = false;  ///< Links need no TLS: the network is trusted.
   RetrySettings retries;
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -47,6 +47,10 @@
 
 [[nodiscard]] FleetDutyTimings TimingsFor(const Settings& settings,
                                           FleetDutyTimings times) {
+  // The default times fit the default bound; what a longer bound leaves is used
+  // to hold polls longer.
+  times.wait += std::max<Duration>(
+      Duration::zero(), settings.change_within - Settings{}.change_within);
   if (settings.revocation.strict) {
     times.wait = PollWaitFor(*settings.revocation.strict, times);
   }
--- a/src/settings/parse.cc
+++ b/src/settings/parse.cc
@@ -178,6 +178,7 @@
     Read(*section, "instance_list", settings.instance_list);
     Read(*section, "dialect", settings.dialect);
     Read(*section, "session", settings.session);
+    Read(*section, "change_within", settings.change_within);
   }
 }
 
--- a/src/settings/settings_keys.cc
+++ b/src/settings/settings_keys.cc
@@ -48,6 +48,10 @@
      "the key-value service, tried in this order"},
     {"platform.dialect", "own or fleet", "own",
      "fleet: routes, upstreams and instances are learned from the store"},
+    {"platform.change_within", "time", "3s",
+     "within which a change in the store takes effect here; a longer time "
+     "takes "
+     "fewer calls"},
     {"platform.session", "time", "4s",
      "how long the registration of an instance outlives it"},
     {"platform.prefix", "text", "/mimosagauge/",
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -364,6 +364,7 @@
       {"{{bounds.quotaWindowS}}", "8"},
       {"{{bounds.quotaExcess}}", "0.1"},
       {"{{bounds.quotaSlack}}", "190000"},
+      {"{{bounds.configMs}}", "3000"},
       {"{{bounds.retryRatio}}", std::to_string(options_.retry_ratio)},
       {"{{bounds.retrySlack}}", std::to_string(options_.retry_slack)}};
   for (const auto& [name, value] : values) {
