--- a/src/decisions/coordination/coordinator.cc
+++ b/src/decisions/coordination/coordinator.cc
@@ -320,12 +320,7 @@
   if (!choice) {
     return Attempted::kNoRoom;
   }
-  // Without a free slot at any engine, reading parts again would take the time
-  // of requests that need none.
-  const UpstreamState& engine = *FindUpstream(coordinator.engines, choice->id);
-  const bool hold =
-      now < waiting.hold_until || engine.in_flight >= engine.config.concurrency;
-  if (!choice->part_cached && hold &&
+  if (!choice->part_cached && now < waiting.hold_until &&
       IsCachedAtFullEngine(coordinator, waiting, now)) {
     return Attempted::kHeld;
   }
--- a/src/decisions/gateway_coordination.cc
+++ b/src/decisions/gateway_coordination.cc
@@ -26,19 +26,16 @@
   return gateway.placement.metrics[record.verdict.service];
 }
 
-// Returns the message for a report.
-// \param frees Whether it frees a slot; it is sent at once if requests wait at
-// the coordinator.
+// Returns the message for a report, which is sent at once if requests wait at
+// the coordinator for what it says.
 [[nodiscard]] PlacementMessage& Report(StepContext& context,
-                                       const InstanceId& coordinator,
-                                       bool frees) {
+                                       const InstanceId& coordinator) {
   PlacementState& state = context.gateway.placement;
   const CoordinatorContact& contact = state.contacts[coordinator];
   const std::size_t reports = contact.outbox.begun.size() +
                               contact.outbox.ended.size() +
                               contact.outbox.refused.size();
-  const bool at_once =
-      (frees && contact.waiting) || reports + 1 >= kReportBatch;
+  const bool at_once = contact.waiting || reports + 1 >= kReportBatch;
   return Tell(context, coordinator, at_once ? Duration::zero() : kReportDelay);
 }
 
@@ -299,7 +296,7 @@
 void ReportBegun(StepContext& context, RequestRecord& record) {
   if (record.placement.phase == PlacementPhase::kStarted &&
       !record.running->answered) {
-    Report(context, record.placement.coordinator, false)
+    Report(context, record.placement.coordinator)
         .begun.push_back(
             {record.placement.number, context.now - record.running->started});
   }
@@ -314,7 +311,7 @@
   }
   const UpstreamHash hash = HashUpstreamId(upstream.config.id);
   std::vector<PlacementLoad>& loads =
-      Report(context, coordinator->second, false).loads;
+      Report(context, coordinator->second).loads;
   const auto earlier = std::find_if(
       loads.begin(), loads.end(),
       [hash](const PlacementLoad& load) { return load.upstream == hash; });
@@ -334,7 +331,7 @@
     Tell(context, placement.coordinator, Duration::zero())
         .ended.push_back(placement.number);
   } else if (placement.phase == PlacementPhase::kStarted) {
-    PlacementMessage& message = Report(context, placement.coordinator, true);
+    PlacementMessage& message = Report(context, placement.coordinator);
     (refused ? message.refused : message.ended).push_back(placement.number);
     PlacementMetricsOf(gateway, record).engine_refusals += refused ? 1 : 0;
   }
