--- a/include/mimosagauge/impl/decisions/coordination/coordinator.h
+++ b/include/mimosagauge/impl/decisions/coordination/coordinator.h
@@ -31,9 +31,6 @@
   Duration expected_start{};  ///< Estimate when it was granted; zero: it was
                               ///< not granted here.
   bool begun = false;         ///< Its response has begun.
-  std::vector<PromptPart> parts{};  ///< Tracked shared parts of the prompt.
-  std::size_t cached_parts = 0;  ///< The first ones of them, which the engine
-                                 ///< had cached when it was granted.
   TimePoint granted_at{};
   TimePoint expires{};  ///< It counts as ended then, without a report.
 };
--- a/include/mimosagauge/impl/decisions/prefix_cache.h
+++ b/include/mimosagauge/impl/decisions/prefix_cache.h
@@ -39,9 +39,6 @@
 /// than `kMinTrackedPartTokens` tokens is ignored.
 void Touch(PrefixCache& cache, const PromptPart& part);
 
-/// \brief Removes one part that the engine did not read after all.
-void Forget(PrefixCache& cache, const PromptPart& part);
-
 /// \brief Removes all parts, as after a restart of the engine.
 void Clear(PrefixCache& cache);
 
--- a/include/mimosagauge/impl/decisions/upstream_table.h
+++ b/include/mimosagauge/impl/decisions/upstream_table.h
@@ -87,8 +87,7 @@
   /// availability zone decide instead of the number.
   Duration spread{};
   /// Whether load and availability zone also decide between upstreams that are
-  /// about equal; for a table that contains the load of all instances and what
-  /// they sent, so that no engine is assumed to cache more than it shows.
+  /// about equal; for a table that contains the load of all instances.
   bool balance = false;
   /// Whether only upstreams qualify that have a free slot and no rate limit.
   bool only_spare = false;
--- a/src/decisions/coordination/coordinator.cc
+++ b/src/decisions/coordination/coordinator.cc
@@ -212,15 +212,8 @@
       choice.cache_source || waiting.request.prompt.tokens_in == 0
           ? static_cast<std::uint32_t>(choice.prompt_tokens)
           : UncachedTokens(engine.cache, waiting.request.prompt);
-  PlacementGrant grant;
-  grant.parts = TrackedSharedParts(waiting.request.prompt);
-  while (grant.cached_parts < grant.parts.size() &&
-         engine.cache.index.contains(grant.parts[grant.cached_parts].id)) {
-    ++grant.cached_parts;
-  }
-  // Counts as cached at once, so that others with this part follow; taken back
-  // if the engine does not begin to answer.
   Touch(engine.cache, waiting.request.prompt);
+  PlacementGrant grant;
   grant.service = waiting.request.service;
   grant.upstream = answer.upstream;
   grant.unread_tokens = answer.prompt_tokens;
--- a/src/decisions/coordination/ledger.cc
+++ b/src/decisions/coordination/ledger.cc
@@ -95,9 +95,6 @@
         std::max(0.0, engine->load.unread_tokens - unread);
     engine->health.rest = Duration::zero();
     RecordResponseStart(engine->load, grant.expected_start, taken);
-    for (const PromptPart& part : grant.parts) {
-      Touch(engine->cache, part);
-    }
   }
 }
 
@@ -188,10 +185,6 @@
     engine->in_flight -= engine->in_flight > 0 ? 1 : 0;
     engine->load.unread_tokens =
         std::max(0.0, engine->load.unread_tokens - grant.unread_tokens);
-    for (std::size_t i = grant.cached_parts;
-         i < grant.parts.size() && !grant.begun; ++i) {
-      Forget(engine->cache, grant.parts[i]);
-    }
   }
   if (grant.begun && grant.expected_start > Duration::zero()) {
     ServicePace& pace = coordinator.paces[grant.service];
@@ -313,7 +306,7 @@
   }
   for (const PlacementKey& key : KeysOf(coordinator.grants, from, all)) {
     // The time of the requests is not known, so it does not count.
-    coordinator.grants.at(key).expected_start = Duration::zero();
+    coordinator.grants.at(key).begun = false;
     detail::EndGrant(coordinator, key, TimePoint{});
   }
 }
--- a/src/decisions/prefix_cache.cc
+++ b/src/decisions/prefix_cache.cc
@@ -56,10 +56,6 @@
                 [&cache](const PromptPart& part) { Touch(cache, part); });
 }
 
-void Forget(PrefixCache& cache, const PromptPart& part) {
-  Remove(cache, part.id);
-}
-
 void Clear(PrefixCache& cache) {
   cache.lru_parts.clear();
   cache.index.clear();
--- a/src/decisions/upstream_table.cc
+++ b/src/decisions/upstream_table.cc
@@ -353,9 +353,8 @@
   const UpstreamState* copy_source = FindCopySource(table, need, now);
   std::optional<Candidate> best;
   for (const UpstreamState* upstream : usable) {
-    const bool assume_cached = !need.balance && upstream == preferred;
     const Candidate candidate = EvaluateCandidate(
-        table, *upstream, need, assume_cached, copy_source, now);
+        table, *upstream, need, upstream == preferred, copy_source, now);
     if (!best || IsPreferredTo(candidate, *best, need, zone)) {
       best = candidate;
     }
