--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -214,20 +214,11 @@
 void StartOnInstance(StepContext& context, RequestRecord& record,
                      const PeerConfig& peer);
 
-/// \brief Starts an attempt at the chosen upstream.
-void StartOnUpstream(StepContext& context, RequestRecord& record,
-                     const UpstreamChoice& choice);
-
 /// \brief Starts an attempt at an instance of another region if one may serve
 /// the request and is expected to do so in time.
 /// \returns Whether it was started.
 bool StartElsewhere(StepContext& context, RequestRecord& record);
 
-/// \returns The requirements of the request on its upstream, with the prompt
-/// and the tie-breaking values of the choice.
-[[nodiscard]] UpstreamNeed PlacementNeedOf(const Gateway& gateway,
-                                           const RequestRecord& record);
-
 /// \returns Whether the starts of the service's requests in this region are
 /// coordinated.
 [[nodiscard]] bool IsCoordinated(const Gateway& gateway,
--- a/src/decisions/coordination/selection.cc
+++ b/src/decisions/coordination/selection.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Assumed for an instance that does not publish its memory.
-constexpr Bytes kAssumedMemory = Kibibytes(256 * 1024);
+constexpr Bytes kAssumedMemory = Kibibytes(std::uint64_t{256} * 1024);
 
 // With u uniform in (0, 1), the largest of the values -weight / ln(u) belongs
 // to each candidate with a probability in proportion to its weight.
