--- a/include/mimosagauge/impl/decisions/traffic_plan/plan.h
+++ b/include/mimosagauge/impl/decisions/traffic_plan/plan.h
@@ -26,7 +26,7 @@
   std::vector<RegionId> allowed;  ///< Regions that may serve them, sorted;
                                   ///< empty: any region.
   SizeClass size = SizeClass::kShort;
-
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on defaulted operators.
   [[nodiscard]] friend auto operator<=>(const Flow&, const Flow&) = default;
 };
 
--- a/src/decisions/traffic_plan/demand.cc
+++ b/src/decisions/traffic_plan/demand.cc
@@ -56,6 +56,7 @@
     sums[demand.flow] += demand.work;
   }
   std::vector<FlowDemand> result;
+  result.reserve(sums.size());
   for (const auto& [flow, work] : sums) {
     result.push_back({flow, work});
   }
--- a/src/duties/upstreams/health_request.cc
+++ b/src/duties/upstreams/health_request.cc
@@ -83,8 +83,8 @@
 
 void HealthRequest::OnHead() {
   if (auto signals = dialect_.read_health(parser_.get().base())) {
-    decisions_.Post(UpstreamHealthReceived{request_.upstream, request_.start,
-                                           std::move(*signals)});
+    decisions_.Post(
+        UpstreamHealthReceived{request_.upstream, request_.start, *signals});
   }
 }
 
