--- a/tests/property/allowance_property_test.cc
+++ b/tests/property/allowance_property_test.cc
@@ -56,7 +56,7 @@
   [[nodiscard]] std::string Run() {
     for (int i = 0; i < kSteps; ++i) {
       Step();
-      const std::string wrong = Judge();
+      std::string wrong = Judge();
       if (!wrong.empty()) {
         return wrong;
       }
--- a/tests/property/hedging_property_test.cc
+++ b/tests/property/hedging_property_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -181,8 +182,9 @@
     if (callers_.empty()) {
       return;
     }
-    auto& [number, caller] = *std::next(
-        callers_.begin(), static_cast<long>(subject % callers_.size()));
+    auto& [number, caller] =
+        *std::next(callers_.begin(),
+                   static_cast<std::ptrdiff_t>(subject % callers_.size()));
     if (caller.closed || caller.abandoned) {
       return;
     }
