--- a/tests/support/revocation_world.cc
+++ b/tests/support/revocation_world.cc
@@ -35,8 +35,8 @@
   ++starts_;
   Member member;
   member.cut_from_store = members_[instance].cut_from_store;
-  member.clock_offset =
-      std::chrono::seconds(100 * static_cast<int>(instance) + starts_ % 7);
+  member.clock_offset = std::chrono::seconds(100) * static_cast<int>(instance) +
+                        std::chrono::seconds(starts_ % 7);
   GatewayConfig config;
   config.instance = NameOf(instance);
   config.region = RegionOf(instance);
