--- a/tests/unit/placement_coordinator_test.cc
+++ b/tests/unit/placement_coordinator_test.cc
@@ -89,7 +89,7 @@
     granted +=
         bench.Ask(kOne, number).decision == PlacementDecision::kGranted ? 1 : 0;
   }
-  CHECK(granted == 3 * 14);
+  CHECK(granted == std::size_t{3} * 14);
   for (const UpstreamState& engine : bench.coordinator.engines.upstreams) {
     CHECK(engine.in_flight == 14);
   }
@@ -343,6 +343,7 @@
 
 TEST_CASE("coordinators are ranked by memory and move only with losses") {
   std::vector<CoordinatorCandidate> candidates;
+  candidates.reserve(10);
   for (int i = 0; i < 10; ++i) {
     candidates.push_back({InstanceId{"i" + std::to_string(i)},
                           Kibibytes(i == 0 ? 512 * 1024 : 128 * 1024)});
