Report attempts outside the home regions in force

Change: each attempt under the operators' configuration is compared with the verdict of the version in force; entry 8304 and the counter mimosagauge_attempts_outside_homes_total report a difference. Entry 8201 states how many routes and accounts have homes. No decision changes.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -159,6 +159,10 @@
 inline constexpr LogEvent kAccountRefusals{
     8303, LogLevel::kWarning, "requests were refused for their keys",
     "look for a caller with a revoked, mistyped or missing key"};
+inline constexpr LogEvent kOutsideHomes{
+    8304, LogLevel::kError,
+    "an attempt was started outside the home regions of its request",
+    "report this with the entries of the request"};
 inline constexpr LogEvent kLendingBegan{
     8311, LogLevel::kInfo,
     "this instance lends from the accounts' allowances in its region", ""};
--- a/include/mimosagauge/impl/decisions/gateway_metrics.h
+++ b/include/mimosagauge/impl/decisions/gateway_metrics.h
@@ -94,6 +94,9 @@
   AccountMetrics accounts;
   std::uint64_t discarded = 0;  ///< Events received for attempts that had
                                 ///< already ended.
+  /// Attempts started outside the home regions that the configuration in force
+  /// gives to their request.
+  std::uint64_t outside_homes = 0;
   std::size_t in_progress = 0;  ///< Requests whose answer is not complete.
   std::size_t unwritten = 0;    ///< Complete answers that are not written yet.
   std::uint64_t health_requests = 0;  ///< Health requests to upstreams.
--- a/src/decisions/gateway_metrics.cc
+++ b/src/decisions/gateway_metrics.cc
@@ -223,6 +223,9 @@
       "# TYPE mimosagauge_discarded_total counter\n";
   fmt::format_to(std::back_inserter(text), "mimosagauge_discarded_total {}\n",
                  metrics.discarded);
+  AppendValue(text, "attempts_outside_homes_total", "counter",
+              "Attempts started outside the home regions of their request.",
+              metrics.outside_homes);
   AppendValue(text, "in_progress", "gauge",
               "Requests whose answer is not complete.", metrics.in_progress);
   AppendValue(text, "unwritten", "gauge",
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -26,10 +26,28 @@
   return gateway.config.limits.stream_window - record.unconsumed;
 }
 
+// Reports an attempt in a region that the configuration in force does not allow
+// for the request: its verdict is from an earlier version.
+void ReportIfOutsideHomes(StepContext& context, const RequestRecord& record,
+                          const RegionId& region) {
+  Gateway& gateway = context.gateway;
+  if (gateway.catalogue == nullptr ||
+      AllowsRegion(VerdictFor(gateway, record), region)) {
+    return;
+  }
+  ++gateway.metrics.outside_homes;
+  context.effects.emplace_back(
+      WriteLog{log_events::kOutsideHomes,
+               {{"request", record.arrival.head->id.value()},
+                {"account", record.arrival.head->account.value()},
+                {"region", region.value()}}});
+}
+
 AttemptNumber BeginAttempt(StepContext& context, RequestRecord& record,
                            std::variant<UpstreamId, InstanceId> target,
                            ::mimosagauge::Place place) {
   Gateway& gateway = context.gateway;
+  ReportIfOutsideHomes(context, record, place.region);
   gateway.last_attempt = gateway.last_attempt.next();
   const AttemptNumber number = gateway.last_attempt;
   gateway.attempts.emplace(number, record.arrival.number);
--- a/src/decisions/gateway_world.cc
+++ b/src/decisions/gateway_world.cc
@@ -119,6 +119,14 @@
   }
 }
 
+// Returns how many of the routes, or of the accounts, have home regions.
+template <typename Element>
+[[nodiscard]] std::ptrdiff_t CountWithHomes(const std::vector<Element>& list) {
+  return std::count_if(list.begin(), list.end(), [](const Element& element) {
+    return !element.regions.empty();
+  });
+}
+
 void UpdateRetryShare(const Gateway& gateway, RetryBudget& budget) {
   // Instances whose links are down are counted too, because they may be using
   // their share of the budget.
@@ -247,7 +255,11 @@
   context.effects.emplace_back(WriteLog{
       log_events::kConfigurationAdopted,
       {{"version", std::to_string(gateway.catalogue->revision.value())},
-       {"routes", std::to_string(gateway.catalogue->routes.size())}}});
+       {"routes", std::to_string(gateway.catalogue->routes.size())},
+       {"routes_with_homes",
+        std::to_string(CountWithHomes(gateway.catalogue->routes))},
+       {"accounts_with_homes",
+        std::to_string(CountWithHomes(gateway.catalogue->accounts.list))}}});
 }
 
 void Handle(StepContext& context, UpstreamUpdated&& event) {
