Follow a coordinator's answer under the homes in force

Cause: a request that waits for a placement coordinator was sent to another region by the verdict computed when it asked. A configuration that gave its route homes, or moved them, in the meantime was not applied, and callers' requests could run outside of their home regions (HOME). The answer that grants an engine renewed the verdict, but did not check the account as other placements do.

Change: RenewVerdict computes the verdict and applies the refusals that go with it; each placement and each answer of a coordinator calls it. The class: a decision carried over from before a wait.

--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -296,6 +296,12 @@
 /// new capacity.
 void Dispatch(StepContext& context);
 
+/// \brief Computes the verdict again, which is necessary before each attempt:
+/// the configuration may have changed while the request waited. Refuses the
+/// request, or aborts its answer, if it may not be served any more.
+/// \returns Whether it may be served; otherwise the record is no longer valid.
+[[nodiscard]] bool RenewVerdict(StepContext& context, RequestRecord& record);
+
 /// \returns The verdict of the catalogue, or else of the rules, on the request
 /// now; without a matching route its service is empty.
 [[nodiscard]] Verdict VerdictFor(const Gateway& gateway,
--- a/src/decisions/gateway_coordination.cc
+++ b/src/decisions/gateway_coordination.cc
@@ -165,9 +165,7 @@
                  const PlacementAnswer& answer) {
   Gateway& gateway = context.gateway;
   const ServiceId service = record.verdict.service;
-  // The rules may have changed while the request waited.
-  record.verdict = VerdictFor(gateway, record);
-  if (RefuseIfPoison(context, record)) {
+  if (!RenewVerdict(context, record)) {
     return;
   }
   if (record.verdict.service != service ||
@@ -197,6 +195,13 @@
                    const PlacementAnswer& answer) {
   ++PlacementMetricsOf(context.gateway, record).refused;
   CloseQuestion(context.gateway, record);
+  const ServiceId service = record.verdict.service;
+  if (!RenewVerdict(context, record)) {
+    return;
+  }
+  if (record.verdict.service != service) {
+    return PlaceRequest(context, record.arrival.number);
+  }
   if (StartElsewhere(context, record)) {
     return;
   }
@@ -370,6 +375,9 @@
       return HandleRefusal(context, *record, answer);
     case PlacementDecision::kElsewhere:
       CloseQuestion(gateway, *record);
+      if (!RenewVerdict(context, *record)) {
+        return;
+      }
       if (StartElsewhere(context, *record)) {
         ++gateway.placement.metrics[record->verdict.service].elsewhere;
         return;
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -306,17 +306,20 @@
   return true;
 }
 
+bool RenewVerdict(StepContext& context, RequestRecord& record) {
+  record.verdict = VerdictFor(context.gateway, record);
+  if (record.verdict.service.empty()) {
+    RefuseOrAbort(context, record, NoService(*record.arrival.head));
+    return false;
+  }
+  return !RefuseIfAccountForbids(context, record) &&
+         !RefuseIfPoison(context, record);
+}
+
 void PlaceRequest(StepContext& context, RequestNumber number) {
   Gateway& gateway = context.gateway;
   RequestRecord& record = gateway.requests.at(number);
-  // The verdict is computed again for each attempt, because the rules may have
-  // changed while the request waited.
-  record.verdict = VerdictFor(gateway, record);
-  if (record.verdict.service.empty()) {
-    return RefuseOrAbort(context, record, NoService(*record.arrival.head));
-  }
-  if (RefuseIfAccountForbids(context, record) ||
-      RefuseIfPoison(context, record)) {
+  if (!RenewVerdict(context, record)) {
     return;
   }
   if (const PeerConfig* planned = ChoosePlannedPeer(context, record)) {
