Refuse public requests whose homes are unconfirmed

Cause: under strict revocation an instance that cannot know the newest configuration refuses requests with keys, but served public routes under the homes that it knew, and a request with an unknown key on such a route without any.

Change: without a confirmed configuration, a public route with homes, and an unknown key where any account has homes, are answered 503, not run. The class: a residency decision from a configuration that may be outdated.

Result: 'unconfirmed homes bind no request' failed before in 4 of 8 cases (the old condition put back, one run) and passes.

--- a/include/mimosagauge/impl/decisions/accounts/authentication.h
+++ b/include/mimosagauge/impl/decisions/accounts/authentication.h
@@ -34,14 +34,22 @@
   const Account* account = nullptr;
 };
 
-/// \brief Authenticates a request that was received from a caller.
+/// \brief What the route of a request requires of its caller.
+struct RouteAccess {
+  bool is_public = false;  ///< Requests need no key.
+  bool has_homes = false;  ///< Requests may be served only in some regions.
+};
+
+/// \brief Authenticates a request that was received from a caller. Without a
+/// confirmed configuration, requests are accepted only on public routes, and
+/// only if no home regions that a newer configuration may have moved bind them.
 /// \param credential The key as the caller sent it; empty: none.
-/// \param is_public Whether the request's route needs no key.
 /// \param confirmed Whether the configuration is known to be recent enough to
 /// accept keys.
 [[nodiscard]] Authentication AuthenticateCaller(const Accounts& accounts,
                                                 std::string_view credential,
-                                                bool is_public, bool confirmed);
+                                                const RouteAccess& route,
+                                                bool confirmed);
 
 /// \brief Authenticates a request that another instance forwarded and has
 /// authenticated, by the name of its account.
--- a/src/decisions/accounts/authentication.cc
+++ b/src/decisions/accounts/authentication.cc
@@ -13,6 +13,12 @@
   return boost::iequals(header.name, "authorization");
 }
 
+[[nodiscard]] bool HasAccountWithHomes(const Accounts& accounts) {
+  return std::any_of(
+      accounts.list.begin(), accounts.list.end(),
+      [](const Account& account) { return !account.regions.empty(); });
+}
+
 }  // namespace
 
 std::string_view ToString(AuthenticationResult result) noexcept {
@@ -32,25 +38,28 @@
 }
 
 Authentication AuthenticateCaller(const Accounts& accounts,
-                                  std::string_view credential, bool is_public,
-                                  bool confirmed) {
-  if (credential.empty()) {
-    return {is_public ? AuthenticationResult::kAccepted
-                      : AuthenticationResult::kMissingKey};
+                                  std::string_view credential,
+                                  const RouteAccess& route, bool confirmed) {
+  if (credential.empty() && !route.is_public) {
+    return {AuthenticationResult::kMissingKey};
   }
   const Account* account = FindAccountByKey(accounts, credential);
   if (confirmed) {
-    const bool accepted = account != nullptr || is_public;
+    const bool accepted = account != nullptr || route.is_public;
     return {accepted ? AuthenticationResult::kAccepted
                      : AuthenticationResult::kUnknownKey,
             account};
   }
   // An unknown key may be new, and a known one may have been revoked. On a
-  // public route the request is served without an account, unless the account's
-  // home regions would then not bind it.
-  const bool homes_bind = account != nullptr && !account->regions.empty();
-  return {is_public && !homes_bind ? AuthenticationResult::kAccepted
-                                   : AuthenticationResult::kUnconfirmed};
+  // public route the request is served without an account, unless home regions
+  // would then not bind it: those of the account, of the account that a new key
+  // may belong to, or those that the route may have by now.
+  const bool homes_bind = !credential.empty() &&
+                          (account != nullptr ? !account->regions.empty()
+                                              : HasAccountWithHomes(accounts));
+  const bool accepted = route.is_public && !route.has_homes && !homes_bind;
+  return {accepted ? AuthenticationResult::kAccepted
+                   : AuthenticationResult::kUnconfirmed};
 }
 
 Authentication AuthenticateForwarded(const Accounts& accounts,
--- a/src/decisions/gateway_accounts.cc
+++ b/src/decisions/gateway_accounts.cc
@@ -112,7 +112,8 @@
   const bool from_caller = arrival.origin == Origin::kCaller;
   const Authentication authentication =
       from_caller
-          ? AuthenticateCaller(accounts, head.credential, route->is_public,
+          ? AuthenticateCaller(accounts, head.credential,
+                               {route->is_public, !route->regions.empty()},
                                AcceptsKeys(gateway.confirmation, context.now))
           : AuthenticateForwarded(accounts, head.account, route->is_public);
   if (authentication.result != AuthenticationResult::kAccepted) {
--- a/tests/unit/home_regions_test.cc
+++ b/tests/unit/home_regions_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "mimosagauge/impl/decisions/accounts/authentication.h"
+#include "mimosagauge/impl/decisions/view.h"
 #include "tests/support/fleet_gateway.h"
 
 namespace mimosagauge {
@@ -121,5 +123,48 @@
   CHECK(world.gateway().metrics.outside_homes == 0);
 }
 
+// Guards against HOME: an instance that cannot learn of the newest
+// configuration serves public routes under homes that have been moved.
+TEST_CASE("unconfirmed homes bind no request") {
+  struct Case {
+    std::string key;
+    bool has_homes;  // The route.
+    bool bound_exists;
+    AuthenticationResult confirmed;
+    AuthenticationResult unconfirmed;
+  };
+  constexpr auto kAccepted = AuthenticationResult::kAccepted;
+  constexpr auto kUnconfirmed = AuthenticationResult::kUnconfirmed;
+  const Case one = GENERATE_COPY(values<Case>({
+      {"", false, true, kAccepted, kAccepted},
+      {"", true, true, kAccepted, kUnconfirmed},
+      {"k-open", false, true, kAccepted, kAccepted},
+      {"k-open", true, true, kAccepted, kUnconfirmed},
+      {"k-bound", false, true, kAccepted, kUnconfirmed},
+      {"k-new", false, true, kAccepted, kUnconfirmed},
+      {"k-new", false, false, kAccepted, kAccepted},
+      {"k-new", true, false, kAccepted, kUnconfirmed},
+  }));
+  CAPTURE(one.key, one.has_homes, one.bound_exists);
+  Accounts accounts;
+  accounts.required = true;
+  accounts.list = {{AccountId{"open"}, {"k-open"}, {}, {}, {}}};
+  if (one.bound_exists) {
+    accounts.list.push_back(
+        {AccountId{"bound"}, {"k-bound"}, {}, {RegionId{"nairobi"}}, {}});
+  }
+  IndexAccounts(accounts);
+  const RouteAccess route{true, one.has_homes};
+  const auto result = [&](bool confirmed) {
+    return AuthenticateCaller(accounts, one.key, route, confirmed).result;
+  };
+  CHECK(result(true) == one.confirmed);
+  CHECK(result(false) == one.unconfirmed);
+  // A route that is not public needs a key in both cases.
+  CHECK(
+      AuthenticateCaller(accounts, "", {false, one.has_homes}, false).result ==
+      AuthenticationResult::kMissingKey);
+}
+
 }  // namespace
 }  // namespace mimosagauge
