--- a/tests/unit/home_regions_test.cc
+++ b/tests/unit/home_regions_test.cc
@@ -166,5 +166,46 @@
       AuthenticationResult::kMissingKey);
 }
 
+// Guards against HOME: callers whose region has no instance are led to a region
+// that is a home of none of their routes.
+TEST_CASE("callers are led to the homes of most routes of their host") {
+  struct Case {
+    std::vector<std::vector<std::string>> homes;  // Of the host's routes.
+    std::string expected;
+  };
+  const Case one = GENERATE(values<Case>({
+      {{{"nairobi", "mombasa"}, {"nairobi"}, {"mombasa"}},
+       "nairobi-1 mombasa-1"},
+      {{{"nairobi", "mombasa"}, {"mombasa"}}, "mombasa-1"},
+      {{{"nairobi"}, {"mombasa"}, {}}, "nairobi-1 mombasa-1"},
+      {{{}, {}}, "nairobi-1 mombasa-1 lamu-1"},
+      {{{"elsewhere"}}, "nairobi-1 mombasa-1 lamu-1"},
+  }));
+  FleetGateway world;
+  RouteCatalogue catalogue = FleetGateway::Catalogue(2);
+  catalogue.routes.clear();
+  for (const std::vector<std::string>& homes : one.homes) {
+    Route route = FleetGateway::Catalogue(2).routes.front();
+    route.prefix = "/" + std::to_string(catalogue.routes.size()) + "/";
+    route.regions.clear();
+    for (const std::string& home : homes) {
+      route.regions.emplace_back(home);
+    }
+    catalogue.routes.push_back(route);
+  }
+  IndexRoutes(catalogue);
+  world.Give(CatalogueReceived{
+      std::make_shared<const RouteCatalogue>(std::move(catalogue))});
+  world.Instance("mombasa-1", "mombasa");
+  world.Instance("lamu-1", "lamu");
+  std::string named;
+  for (const EntryInstance& entry :
+       EntriesFor(View(world.gateway(), world.now()), RegionId{"kisumu"},
+                  "nets.example")) {
+    named += (named.empty() ? "" : " ") + entry.id.value();
+  }
+  CHECK(named == one.expected);
+}
+
 }  // namespace
 }  // namespace mimosagauge
