Trust a refusal on a reused connection only if it names its request

Cause: a refusal without the id of its request was taken for the answer to the request in progress. A faulty upstream that writes an earlier refusal once more on a kept connection made the gateway say 'not run' for a request that ran (REFUSED), or send it to a second upstream (TWICE). A refusal with another request's id was rejected before.

Change: on a connection that has carried another request, a refusal (or 421) without the id leaves the outcome unknown, in both dialects. On a new connection it can only belong to the request.

--- a/include/mimosagauge/impl/duties/upstreams/attempt.h
+++ b/include/mimosagauge/impl/duties/upstreams/attempt.h
@@ -110,6 +110,7 @@
   bool read_wait_pending_ = false;  // A wait for readability is pending.
   bool head_posted_ = false;        // `AttemptHeadReceived` was posted.
   bool event_stream_ = false;       // The body is posted in whole events.
+  bool connection_reused_ = false;  // It has carried other requests before.
   bool misdirected_ = false;        // The address belongs to another upstream.
   bool connection_refused_ = false;  // No process listens at the address.
   bool answer_complete_ = false;  // The parser reached the end of the answer.
--- a/include/mimosagauge/impl/duties/upstreams/dialect.h
+++ b/include/mimosagauge/impl/duties/upstreams/dialect.h
@@ -22,6 +22,8 @@
   /// The address now belongs to another upstream, which did not run the
   /// request.
   bool misdirected = false;
+  /// The answer states the id of this request.
+  bool names_request = false;
   /// The reason why this is not a valid answer of the upstream to this request;
   /// empty for a valid answer.
   std::string fault;
--- a/src/duties/upstreams/attempt.cc
+++ b/src/duties/upstreams/attempt.cc
@@ -93,6 +93,7 @@
   auto idle_socket = pool_->TakeIdleSocket();
   if (idle_socket) {
     socket_ = std::move(*idle_socket);
+    connection_reused_ = true;
     BeginExchange();
     return;
   }
@@ -335,6 +336,14 @@
   idle_timeout_ = info.idle_timeout;
   rate_limit_ = info.rate_limit;
   signals_ = info.signals;
+  const bool refused = info.misdirected || info.refused_without_running;
+  if (refused && connection_reused_ && !info.names_request) {
+    Fail(ErrorKind::kInvalidInput,
+         "the refusal does not state the id of the request; it may repeat the "
+         "answer to an earlier one on this connection",
+         kCheckUpstreamLog);
+    return false;
+  }
   if (info.misdirected) {
     misdirected_ = true;
     FailWithRunState(RunState::kNotRun, ErrorKind::kNotFound,
--- a/src/duties/upstreams/dialect.cc
+++ b/src/duties/upstreams/dialect.cc
@@ -23,6 +23,7 @@
     info.fault = "the answer has the Mimosagauge-Request-Id of another request";
     return info;
   }
+  info.names_request = !id.empty();
   info.refused_without_running =
       head.result_int() == kServiceUnavailable &&
       EqualsIgnoringCase(FieldValue(head, kNotRunField), "true");
