--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -122,7 +122,8 @@
   void HandlePollAnswer(Result<StoreWatchUpdate>&& update, TimePoint sent_at);
   void HandlePollUpdate(const StoreWatchUpdate& update, TimePoint sent_at);
   // Reports that the configuration posted last was the newest one at `as_of`.
-  void PostConfirmation(TimePoint as_of);
+  // What the store contained at `read_at` has been received.
+  void PostConfirmation(TimePoint as_of, TimePoint read_at);
   void AdvanceSeenRevision(StoreRevision revision);
   // Handles that the store was restored from an earlier copy.
   void HandleRestoration(StoreEra era);
@@ -157,6 +158,9 @@
   boost::asio::steady_timer replacement_timer_;
   // Lease of the registration; zero: not registered.
   LeaseId lease_;
+  // Number of the newest call for a lease. Leases of earlier calls are not used
+  // and expire.
+  std::uint64_t registration_number_ = 0;
   // The registrations of all instances by key, as the store has them; only
   // maintained where allowances are enforced.
   std::unordered_map<std::string, Registration> registrations_;
@@ -173,8 +177,9 @@
   // `kMaxParallelPolls`.
   std::size_t polls_in_progress_ = 0;
   // When the last restoration was noticed; empty: there was none.
-  std::optional<Clock::time_point> restored_at_;
-  // The store was restored and has not been read as a whole since.
+  std::optional<TimePoint> restored_at_;
+  // The store was restored after it had been read, and has not been read as a
+  // whole since.
   bool unread_since_restoration_ = false;
   // `own_entry_lease_` as it was before the last restoration.
   LeaseId entry_lease_before_restoration_;
--- a/src/decisions/allowance/seniority.cc
+++ b/src/decisions/allowance/seniority.cc
@@ -18,7 +18,9 @@
 // than Y. Y lends only after it has seen the store at a revision that contains
 // Y's entry and not X's. X's entry was then removed earlier, and it cannot come
 // back with its old creation revision. X's entry is removed only when X's lease
-// has ended or X has left, and X stops before that.
+// has ended or X has left, and X stops before that. A store that is restored
+// from an earlier copy may lose X's entry and lease; for one session after that
+// the registrations are not posted to Y, and X stops within it.
 std::optional<TimePoint> LendsUntil(const SeniorityFacts& facts,
                                     const InstanceId& self, Duration session) {
   const RegistrationTable& table = facts.registrations;
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -138,9 +138,13 @@
   lease_ = LeaseId{};
   const TimePoint sent = MonotonicNow();
   RecordLease(lease_, sent, Duration::zero());
+  const std::uint64_t number = ++registration_number_;
   store_->GrantLease(
-      settings_.session, [this, sent](Result<StoreLease>&& granted) {
+      settings_.session, [this, sent, number](Result<StoreLease>&& granted) {
         RecordCallResult(bool{granted}, granted ? "" : granted.error().message);
+        if (number != registration_number_) {
+          return;
+        }
         if (!granted || granted.value().id == LeaseId{}) {
           return ScheduleRenewal(times_.retry, true);
         }
@@ -199,18 +203,22 @@
     return;
   }
   const TimePoint sent = MonotonicNow();
-  store_->KeepAlive(lease_, [this, sent](Result<StoreLease>&& renewed) {
-    RecordCallResult(bool{renewed}, renewed ? "" : renewed.error().message);
-    if (!renewed) {
-      return ScheduleRenewal(times_.retry, false);
-    }
-    if (renewed.value().remaining == Duration::zero()) {
-      Log(log_events::kRegistrationLost);
-      return Register();
-    }
-    RecordLease(lease_, sent, renewed.value().remaining);
-    ScheduleRenewal(settings_.session / kRenewalsPerSession, false);
-  });
+  store_->KeepAlive(
+      lease_, [this, sent, lease = lease_](Result<StoreLease>&& renewed) {
+        RecordCallResult(bool{renewed}, renewed ? "" : renewed.error().message);
+        if (lease != lease_) {
+          return;  // It was replaced meanwhile.
+        }
+        if (!renewed) {
+          return ScheduleRenewal(times_.retry, false);
+        }
+        if (renewed.value().remaining == Duration::zero()) {
+          Log(log_events::kRegistrationLost);
+          return Register();
+        }
+        RecordLease(lease_, sent, renewed.value().remaining);
+        ScheduleRenewal(settings_.session / kRenewalsPerSession, false);
+      });
 }
 
 void FleetDuty::Leave() {
@@ -272,6 +280,7 @@
 void FleetDuty::ReadAll() {
   // Answers to polls that started before this read are ignored.
   IgnorePolls();
+  watch_timer_.cancel();
   read_ = std::make_shared<FullRead>();
   read_->started_at = MonotonicNow();
   ReadPrefix(read_, 0, "");
@@ -345,8 +354,17 @@
       PostEntry(entry);
     }
   }
-  PostConfirmation(read.started_at);
+  PostConfirmation(read.started_at, read.started_at);
   PostRegistrations();
+  const auto own = read.entries.find(RegistrationKey());
+  const bool has_own_entry = own != read.entries.end();
+  if (after_restoration && lease_ != LeaseId{}) {
+    // An entry under another lease is that of an earlier registration, and the
+    // number of this one's lease may have been given out again.
+    has_own_entry && own->second.lease == lease_
+        ? ScheduleRenewal(Duration::zero(), false)
+        : Register();
+  }
   read_.reset();
   Poll();
 }
@@ -377,28 +395,31 @@
   Log(log_events::kStoreRestored,
       {{"era", std::to_string(era.value())},
        {"seen", std::to_string(seen_revision_.value())}});
-  restored_at_ = Clock::now();
-  outage_ended_at_ = *restored_at_;
+  restored_at_ = MonotonicNow();
+  outage_ended_at_ = Clock::now();
+  unread_since_restoration_ |= seen_revision_ != StoreRevision{};
   seen_revision_ = {};
   for (auto& [key, revision] : posted_revisions_) {
     revision = {};
   }
   registrations_.clear();
-  entry_lease_before_restoration_ = std::exchange(own_entry_lease_, {});
-  // The lease may be lost. The call that is being answered may be its renewal,
-  // whose handler then registers anew.
-  if (lease_ != LeaseId{}) {
-    ScheduleRenewal(Duration::zero(), false);
+  registrations_changed_ = true;
+  if (own_entry_lease_ != LeaseId{}) {
+    entry_lease_before_restoration_ = std::exchange(own_entry_lease_, {});
   }
-  unread_since_restoration_ = true;
   ReadAll();
 }
 
 bool FleetDuty::WasRestoredWithin(Duration time) const {
-  return restored_at_ && Clock::now() - *restored_at_ < time;
+  return restored_at_ && MonotonicNow() - *restored_at_ < time;
 }
 
-void FleetDuty::Poll() { StartPolls(times_.wait); }
+void FleetDuty::Poll() {
+  // The timer may have expired before a read cancelled it.
+  if (read_ == nullptr) {
+    StartPolls(times_.wait);
+  }
+}
 
 void FleetDuty::StartPolls(Duration wait) {
   IgnorePolls();
@@ -468,7 +489,7 @@
     }
   }
   AdvanceSeenRevision(update.revision);
-  PostConfirmation(sent_at);
+  PostConfirmation(sent_at, MonotonicNow());
   PostRegistrations();
   if (update.changes.empty()) {
     return Poll();
@@ -476,10 +497,11 @@
   RunAfter(times_.batch, &FleetDuty::Poll);
 }
 
-void FleetDuty::PostConfirmation(TimePoint as_of) {
+void FleetDuty::PostConfirmation(TimePoint as_of, TimePoint read_at) {
   // Until the operators have written it again, the newest configuration may be
   // missing from a store that was restored.
-  const bool may_be_older = WasRestoredWithin(times_.return_grace);
+  const bool may_be_older =
+      restored_at_ && read_at - *restored_at_ < times_.return_grace;
   if (settings_.revocation.strict && configuration_version_ != Revision{} &&
       !may_be_older) {
     decisions_.Post(ConfigurationConfirmed{configuration_version_, as_of});
