Order positions in the store without a defaulted three-way comparison

Cause: the linter takes the zero of the generated comparison for a null pointer; a test converted a sum to a wider type after adding. Change: operator< by era and revision; the test counts in 64 bits.

--- a/include/mimosagauge/impl/decisions/load_digest.h
+++ b/include/mimosagauge/impl/decisions/load_digest.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 #include "mimosagauge/impl/core/ids.h"
@@ -86,8 +87,10 @@
   std::uint64_t era = 0;  ///< Zero: the store does not state it.
   std::uint64_t revision = 0;
 
-  [[nodiscard]] friend auto operator<=>(const StorePosition&,
-                                        const StorePosition&) = default;
+  [[nodiscard]] friend bool operator<(const StorePosition& a,
+                                      const StorePosition& b) noexcept {
+    return std::tie(a.era, a.revision) < std::tie(b.era, b.revision);
+  }
 };
 
 /// \brief Load digest of one instance.
--- a/src/decisions/gateway_load.cc
+++ b/src/decisions/gateway_load.cc
@@ -163,7 +163,7 @@
 // changes.
 void CheckStoreLag(StepContext& context, const StorePosition& of_peer) {
   Gateway& gateway = context.gateway;
-  if (of_peer <= gateway.store_seen) {
+  if (!(gateway.store_seen < of_peer)) {
     return;
   }
   if (!gateway.store_behind_since) {
--- a/tests/unit/fleet_duty_test.cc
+++ b/tests/unit/fleet_duty_test.cc
@@ -277,8 +277,8 @@
 
 // What a case writes to the store between the copy and its restoration; the
 // number of writes decides how far revisions go back.
-void WriteVersions(PlatformStore& store, int from, int to) {
-  for (int version = from; version <= to; ++version) {
+void WriteVersions(PlatformStore& store, std::uint64_t from, std::uint64_t to) {
+  for (std::uint64_t version = from; version <= to; ++version) {
     store.Put("op/config", "{\"version\":" + std::to_string(version) + "}");
   }
 }
@@ -289,7 +289,8 @@
 TEST_CASE("entries written after the store was restored are received") {
   // Versions written before the copy, lost with the restoration, and written
   // anew; with more of the last the revisions pass those seen before.
-  const auto [lost, anew] = GENERATE(table<int, int>({{1, 1}, {6, 2}, {2, 9}}));
+  const auto [lost, anew] =
+      GENERATE(table<std::uint64_t, std::uint64_t>({{1, 1}, {6, 2}, {2, 9}}));
   CAPTURE(lost, anew);
   PlatformStore store;
   PutWorld(store);
@@ -300,15 +301,15 @@
   WriteVersions(store, 2, 1 + lost);
   const auto newest = [&duty] {
     const auto versions = duty.Versions();
-    return versions.empty() ? 0 : versions.back();
+    return versions.empty() ? std::uint64_t{0} : versions.back();
   };
-  const auto lost_version = static_cast<std::uint64_t>(1 + lost);
+  const auto lost_version = 1 + lost;
   REQUIRE(WaitUntil([&] { return newest() == lost_version; }));
   const std::uint64_t reads = store.CallCount("kv-range");
   store.RestoreCopy();
   WriteVersions(store, 2, 1 + lost + anew);
   store.Remove(kEvacuationKey);
-  const auto last_version = static_cast<std::uint64_t>(1 + lost + anew);
+  const auto last_version = 1 + lost + anew;
   CHECK(WaitUntil([&] { return newest() == last_version; }));
   store.Put("servers/i-2",
             R"({"service":"s","addr":"127.0.0.1:9","zone":"nairobi-a",
