Write the choice between renewal and registration as a statement

Cause: a conditional expression was used for its effects after a restoration. Behaviour is as it was.

--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -357,13 +357,14 @@
   PostConfirmation(read.started_at, read.started_at);
   PostRegistrations();
   const auto own = read.entries.find(RegistrationKey());
-  const bool has_own_entry = own != read.entries.end();
   if (after_restoration && lease_ != LeaseId{}) {
     // An entry under another lease is that of an earlier registration, and the
     // number of this one's lease may have been given out again.
-    has_own_entry && own->second.lease == lease_
-        ? ScheduleRenewal(Duration::zero(), false)
-        : Register();
+    if (own != read.entries.end() && own->second.lease == lease_) {
+      ScheduleRenewal(Duration::zero(), false);
+    } else {
+      Register();
+    }
   }
   read_.reset();
   Poll();
