review: the old workers leave one after the other

The case of the joined versions after a release removes the entries of the old workers one second apart, as the site's release does.

--- a/review/stand-2/cases.cc
+++ b/review/stand-2/cases.cc
@@ -130,9 +130,10 @@
   Sleep(milliseconds(5000));
   if (HasTrouble()) {
     first.Leave();
+    Sleep(milliseconds(1000));
     second.Leave();
   }
-  Sleep(milliseconds(6000));
+  Sleep(milliseconds(7000));
   return JudgeVersions(clients.Stop(), record);
 }
 
