--- a/review/stand-2/cases.cc
+++ b/review/stand-2/cases.cc
@@ -175,6 +175,20 @@
   return JudgeVersions(clients.Stop(), record);
 }
 
+// Lets all workers of a zone crash at the same moment.
+void CrashZone(const std::vector<std::unique_ptr<Worker>>& workers,
+               const std::string& zone) {
+  std::vector<std::thread> crashes;
+  for (const auto& worker : workers) {
+    if (worker->options().zone == zone) {
+      crashes.emplace_back([&worker] { worker->Crash(); });
+    }
+  }
+  for (std::thread& crash : crashes) {
+    crash.join();
+  }
+}
+
 // Streams of a lost region are taken up in another one, where nobody knows
 // which version began them.
 int LostRegion(const std::string& folder, Record& record) {
@@ -217,11 +231,7 @@
     for (const std::size_t machine : {0, 1, 2}) {
       fleet.Kill(machine);
     }
-    for (const auto& worker : workers) {
-      if (worker->options().zone == "north-a") {
-        worker->Crash();
-      }
-    }
+    CrashZone(workers, "north-a");
   }
   Sleep(milliseconds(3000));
   const std::vector<StreamResult> of_north = north.Stop();
--- a/review/stand-2/fleet.cc
+++ b/review/stand-2/fleet.cc
@@ -295,7 +295,7 @@
   StreamResult result;
   result.begun = Clock::now();
   const auto until = result.begun + options_.budget;
-  constexpr int kTries = 4;
+  const int kTries = 1 + options_.retries;
   constexpr std::size_t kMostFailures = 8;
   std::set<std::size_t> failed;
   std::string last_event;
--- a/review/stand-2/fleet.h
+++ b/review/stand-2/fleet.h
@@ -82,6 +82,7 @@
     std::size_t events = 20;
     milliseconds gap{50};
     milliseconds budget{5000};
+    int retries = 3;
   };
 
   Clients(const Fleet& fleet, Options options, Record& record);
