--- a/review/stand-2/fleet.cc
+++ b/review/stand-2/fleet.cc
@@ -92,6 +92,13 @@
   return answer && answer->Word(1) == "200";
 }
 
+template <typename... Parts>
+std::string Text(const Parts&... parts) {
+  std::ostringstream text;
+  (text << ... << parts);
+  return text.str();
+}
+
 // An event of a stream: its id, and the worker and version in its data.
 struct Event {
   std::string id;
@@ -292,97 +299,114 @@
 
 StreamResult Clients::Ask(std::uint64_t number) {
   std::minstd_rand random(static_cast<unsigned>(number * 7919 + 1));
-  StreamResult result;
-  result.begun = Clock::now();
-  const auto until = result.begun + options_.budget;
-  const int kTries = 1 + options_.retries;
   constexpr std::size_t kMostFailures = 8;
-  std::set<std::size_t> failed;
-  std::string last_event;
-  std::string first_request;
-  int attempt = 1;
-  while (attempt <= kTries && failed.size() < kMostFailures &&
-         !result.complete) {
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(until - Clock::now());
-    if (left <= milliseconds(0)) {
-      break;
-    }
-    const std::string id =
-        options_.name + std::to_string(number) + "-" + std::to_string(attempt);
-    const std::size_t machine = ChooseMachine(failed, random, attempt == 1);
-    const std::string& name = fleet_.machines()[machine].name;
-    std::string request =
-        "POST /ask/" + std::to_string(options_.events) + "/" +
-        std::to_string(options_.gap.count()) + "/" + std::to_string(number) +
-        " HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 2\r\n"
-        "X-Mimosagauge-Request-Id: " +
-        id + "\r\nX-Mimosagauge-Deadline-Ms: " + std::to_string(left.count()) +
-        "\r\n";
-    if (!last_event.empty()) {
-      request += "Last-Event-Id: " + last_event +
-                 "\r\nResumes: " + first_request + "\r\n";
-      if (!std::exchange(result.taken_up, true)) {
-        result.taken_up_at = Clock::now();
-      }
+  Progress progress;
+  progress.result.begun = Clock::now();
+  progress.until = progress.result.begun + options_.budget;
+  while (progress.attempts <= options_.retries &&
+         progress.failed.size() < kMostFailures && !progress.result.complete &&
+         Clock::now() < progress.until) {
+    const std::size_t machine =
+        ChooseMachine(progress.failed, random, progress.attempts == 0);
+    if (!Try(number, machine, progress)) {
+      progress.failed.insert(machine);
     }
-    const int fd = ConnectTo(fleet_.machines()[machine].front, kConnectTimeout);
-    if (fd < 0 || !WriteAll(fd, request + "\r\n{}")) {
-      record_.Add("client: " + id + " cannot be sent to " + name);
-      failed.insert(machine);
-      close(fd);
-      continue;  // No machine has read it.
+  }
+  return progress.result;
+}
+
+// \returns Whether the stream is complete.
+bool Clients::Try(std::uint64_t number, std::size_t machine,
+                  Progress& progress) {
+  const Machine& target = fleet_.machines()[machine];
+  const std::string id =
+      Text(options_.name, number, "-", progress.attempts + 1);
+  const int fd = ConnectTo(target.front, kConnectTimeout);
+  if (fd < 0 || !WriteAll(fd, RequestText(number, id, progress))) {
+    record_.Add(Text("client: ", id, " cannot be sent to ", target.name));
+    close(fd);
+    return false;  // No machine has read it.
+  }
+  ++progress.attempts;
+  const bool taken_up = !progress.last_event.empty();
+  if (taken_up && !std::exchange(progress.result.taken_up, true)) {
+    progress.result.taken_up_at = Clock::now();
+  }
+  record_.Add(taken_up ? Text("client: ", id, " is sent to ", target.name,
+                              ", resumes ", progress.first_request,
+                              " after event ", progress.last_event)
+                       : Text("client: ", id, " is sent to ", target.name));
+  Reader reader(fd);
+  const auto head = reader.ReadHead(progress.until);
+  const std::string status = head ? head->Word(1) : "no answer";
+  if (status == "200") {
+    ReadStream(reader, id, progress);
+    if (!progress.result.complete) {
+      record_.Add(Text("client: ", id, " breaks off after event ",
+                       progress.last_event));
     }
-    ++attempt;
-    record_.Add("client: " + id + " is sent to " + name +
-                (last_event.empty() ? ""
-                                    : ", resumes " + first_request +
-                                          " after event " + last_event));
-    Reader reader(fd);
-    const auto head = reader.ReadHead(until);
-    const std::string status = head ? head->Word(1) : "no answer";
-    if (status != "200") {
-      record_.Add("client: " + id + " gets " + status);
-      close(fd);
-      failed.insert(machine);
-      const std::string wait = head ? head->Field("retry-after") : "";
-      const auto pause =
-          std::min(std::chrono::duration_cast<milliseconds>(
-                       std::chrono::duration<double>(
-                           wait.empty() ? 0.0 : std::stod(wait))),
-                   left / 3);
-      std::this_thread::sleep_for(pause);
-      continue;
+  } else {
+    record_.Add(Text("client: ", id, " gets ", status));
+  }
+  close(fd);
+  if (status != "200") {
+    Pause(head ? head->Field("retry-after") : "", progress);
+  }
+  return progress.result.complete;
+}
+
+std::string Clients::RequestText(std::uint64_t number, const std::string& id,
+                                 const Progress& progress) const {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(progress.until - Clock::now());
+  const std::string resumption =
+      progress.last_event.empty()
+          ? ""
+          : Text("Last-Event-Id: ", progress.last_event,
+                 "\r\nResumes: ", progress.first_request, "\r\n");
+  return Text("POST /ask/", options_.events, "/", options_.gap.count(), "/",
+              number,
+              " HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 2\r\n"
+              "X-Mimosagauge-Request-Id: ",
+              id, "\r\nX-Mimosagauge-Deadline-Ms: ", left.count(), "\r\n",
+              resumption, "\r\n{}");
+}
+
+void Clients::ReadStream(Reader& reader, const std::string& id,
+                         Progress& progress) {
+  StreamResult& result = progress.result;
+  std::string bytes;
+  while (const auto chunk = reader.ReadChunk(progress.until)) {
+    if (chunk->empty()) {
+      result.complete = progress.last_event == Text(options_.events);
+      return;
     }
-    std::string bytes;
-    while (const auto chunk = reader.ReadChunk(until)) {
-      if (chunk->empty()) {
-        result.complete = last_event == std::to_string(options_.events);
-        break;
+    bytes += *chunk;
+    while (const auto event = TakeEvent(bytes)) {
+      if (progress.first_request.empty()) {
+        progress.first_request = id;
+        result.has_begun = progress.attempts == 1;
       }
-      bytes += *chunk;
-      while (const auto event = TakeEvent(bytes)) {
-        if (first_request.empty()) {
-          first_request = id;
-          result.has_begun = attempt == 2;
-        }
-        result.went_on = result.went_on || result.taken_up;
-        last_event = event->id;
-        if (result.workers.empty() || result.workers.back() != event->worker) {
-          result.workers.push_back(event->worker);
-          record_.Add("client: " + id + " gets event " + event->id + " of " +
-                      event->worker + ", version " + event->version);
-        }
-        result.versions.insert(event->version);
+      result.went_on = result.went_on || result.taken_up;
+      progress.last_event = event->id;
+      if (result.workers.empty() || result.workers.back() != event->worker) {
+        result.workers.push_back(event->worker);
+        record_.Add(Text("client: ", id, " gets event ", event->id, " of ",
+                         event->worker, ", version ", event->version));
       }
-    }
-    close(fd);
-    if (!result.complete) {
-      record_.Add("client: " + id + " breaks off after event " + last_event);
-      failed.insert(machine);
+      result.versions.insert(event->version);
     }
   }
-  return result;
+}
+
+// Clients honour Retry-After up to one third of the time that they have left.
+void Clients::Pause(const std::string& retry_after, const Progress& progress) {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(progress.until - Clock::now());
+  const auto wanted =
+      std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(
+          retry_after.empty() ? 0.0 : std::stod(retry_after)));
+  std::this_thread::sleep_for(std::min(wanted, left / 3));
 }
 
 }  // namespace review
--- a/review/stand-2/fleet.h
+++ b/review/stand-2/fleet.h
@@ -95,8 +95,23 @@
   std::vector<StreamResult> Stop();
 
  private:
+  // A stream in progress.
+  struct Progress {
+    StreamResult result;
+    Clock::time_point until{};
+    int attempts = 0;
+    std::string last_event;     // Id of the last event received.
+    std::string first_request;  // The one that brought the first event.
+    std::set<std::size_t> failed;
+  };
+
   void Send();
   StreamResult Ask(std::uint64_t number);
+  bool Try(std::uint64_t number, std::size_t machine, Progress& progress);
+  std::string RequestText(std::uint64_t number, const std::string& id,
+                          const Progress& progress) const;
+  void ReadStream(Reader& reader, const std::string& id, Progress& progress);
+  static void Pause(const std::string& retry_after, const Progress& progress);
   std::size_t ChooseMachine(const std::set<std::size_t>& failed,
                             std::minstd_rand& random, bool first) const;
 
