Keep a stream's origin until its caller's deadline

Cause: the time-out of a route was taken for the longest time for which a caller may come back, both in the time for which an origin is kept and in the period over which only one version must have run.

Change: origins are kept until the caller's deadline, which a forwarded request carries (caller_remaining), and the period covers the longest deadline seen.

Tests: "a stream's origin is known until its caller's deadline" (three cases) and "the caller's deadline is passed on with a forwarded stream".

--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -75,6 +75,9 @@
   Verdict verdict;  ///< From the rules in force at the last decision.
   TimePoint arrived;
   TimePoint due;  ///< When the answer is due.
+  /// Until when the caller may send the request again, by its own deadline; at
+  /// least `due`.
+  TimePoint caller_due;
   Outcome outcome;
   std::vector<Place> visited;      ///< Instances and upstreams that the request
                                    ///< passed before and was tried on from
--- a/include/mimosagauge/impl/decisions/request.h
+++ b/include/mimosagauge/impl/decisions/request.h
@@ -76,9 +76,12 @@
   std::string target;       ///< Target to send to the upstream, with query.
   std::vector<Header> headers;  ///< End-to-end header fields only.
   std::optional<IdempotencyKey> key;
-  ContentDigest digest;     ///< Digest of the request's content.
-  Duration remaining{};     ///< Time until the answer is due, when the request
-                            ///< was sent; zero: the caller set none.
+  ContentDigest digest;  ///< Digest of the request's content.
+  Duration remaining{};  ///< Time until the answer is due, when the request
+                         ///< was sent; zero: the caller set none.
+  /// Time until the caller's own deadline, when the request was sent. It may be
+  /// longer than `remaining`, which a route limits. Zero: as `remaining`.
+  Duration caller_remaining{};
   std::vector<Place> path;  ///< Hops passed, in order; each at most once.
   Revision revision;        ///< Revision of the rules that the sender applied.
   bool stream = false;      ///< The caller asked for server-sent events.
--- a/include/mimosagauge/impl/decisions/streams/stream_continuity.h
+++ b/include/mimosagauge/impl/decisions/streams/stream_continuity.h
@@ -28,6 +28,9 @@
 struct StreamContinuity {
   SoftwareHistory history;
   StreamOrigins origins;
+  /// Longest time that a caller of a stream was seen to have until its
+  /// deadline.
+  Duration longest_deadline{};
   /// Requests that wait for an answer, and the streams that they resume. Each
   /// has an element in `deadlines`, and is erased when that is due at the
   /// latest.
--- a/include/mimosagauge/impl/decisions/streams/stream_origins.h
+++ b/include/mimosagauge/impl/decisions/streams/stream_origins.h
@@ -6,6 +6,7 @@
 #ifndef MIMOSAGAUGE_IMPL_DECISIONS_STREAMS_STREAM_ORIGINS_H_
 #define MIMOSAGAUGE_IMPL_DECISIONS_STREAMS_STREAM_ORIGINS_H_
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <optional>
@@ -18,11 +19,15 @@
 
 namespace mimosagauge {
 
+/// Longest time after its first event for which a stream can be resumed.
+inline constexpr Duration kLongestResumption = std::chrono::minutes(5);
+
 /// \brief The version that began the stream of a request.
 struct StreamOrigin {
   RequestId request;  ///< The caller's attempt that brought the first event.
   SoftwareVersion software;
-  /// Time for which the stream may still be resumed.
+  /// Time for which the stream may still be resumed: until the deadline of its
+  /// caller, which may be later than the time-out of its route.
   Duration remaining{};
 
   [[nodiscard]] friend bool operator==(const StreamOrigin&,
--- a/include/mimosagauge/impl/wire/peer_generated.h
+++ b/include/mimosagauge/impl/wire/peer_generated.h
@@ -618,7 +618,8 @@
     VT_RESUME_AFTER = 48,
     VT_RUNS = 50,
     VT_RESUMES = 52,
-    VT_SOFTWARE = 54
+    VT_SOFTWARE = 54,
+    VT_CALLER_REMAINING_NS = 56
   };
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
@@ -698,6 +699,9 @@
   const flatbuffers::String *software() const {
     return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
   }
+  int64_t caller_remaining_ns() const {
+    return GetField<int64_t>(VT_CALLER_REMAINING_NS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
@@ -745,6 +749,7 @@
            verifier.VerifyString(resumes()) &&
            VerifyOffset(verifier, VT_SOFTWARE) &&
            verifier.VerifyString(software()) &&
+           VerifyField<int64_t>(verifier, VT_CALLER_REMAINING_NS, 8) &&
            verifier.EndTable();
   }
 };
@@ -831,6 +836,9 @@
   void add_software(flatbuffers::Offset<flatbuffers::String> software) {
     fbb_.AddOffset(Request::VT_SOFTWARE, software);
   }
+  void add_caller_remaining_ns(int64_t caller_remaining_ns) {
+    fbb_.AddElement<int64_t>(Request::VT_CALLER_REMAINING_NS, caller_remaining_ns, 0);
+  }
   explicit RequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -872,8 +880,10 @@
     flatbuffers::Offset<flatbuffers::String> resume_after = 0,
     uint8_t runs = 0,
     flatbuffers::Offset<flatbuffers::String> resumes = 0,
-    flatbuffers::Offset<flatbuffers::String> software = 0) {
+    flatbuffers::Offset<flatbuffers::String> software = 0,
+    int64_t caller_remaining_ns = 0) {
   RequestBuilder builder_(_fbb);
+  builder_.add_caller_remaining_ns(caller_remaining_ns);
   builder_.add_credit(credit);
   builder_.add_body_size(body_size);
   builder_.add_revision(revision);
@@ -935,7 +945,8 @@
     const char *resume_after = nullptr,
     uint8_t runs = 0,
     const char *resumes = nullptr,
-    const char *software = nullptr) {
+    const char *software = nullptr,
+    int64_t caller_remaining_ns = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto account__ = account ? _fbb.CreateString(account) : 0;
   auto account_home__ = account_home ? _fbb.CreateString(account_home) : 0;
@@ -980,7 +991,8 @@
       resume_after__,
       runs,
       resumes__,
-      software__);
+      software__,
+      caller_remaining_ns);
 }
 
 struct RequestBody FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/decisions/gateway.cc
+++ b/src/decisions/gateway.cc
@@ -36,6 +36,20 @@
   return now + due;
 }
 
+// Bound of the time for which a caller may send the request again if it states
+// no deadline.
+constexpr Duration kUnstatedDeadline = std::chrono::minutes(1);
+
+[[nodiscard]] TimePoint CallerDueTime(const RequestHead& head, TimePoint due,
+                                      TimePoint now) {
+  const Duration stated = head.caller_remaining > Duration::zero()
+                              ? head.caller_remaining
+                              : head.remaining;
+  return std::max(due, now + (stated > Duration::zero()
+                                  ? std::min(stated, kLongestResumption)
+                                  : kUnstatedDeadline));
+}
+
 // Refuses a request before it is admitted. It has no entry in `requests` yet,
 // so a temporary record is used.
 void RefuseArrival(StepContext& context, const RequestArrived& arrival,
@@ -87,6 +101,8 @@
   record.verdict = VerdictFor(gateway, record);
   record.due =
       DueTime(gateway, record.verdict, *record.arrival.head, context.now);
+  record.caller_due =
+      CallerDueTime(*record.arrival.head, record.due, context.now);
   const RequestNumber number = record.arrival.number;
   ++MetricsOf(gateway, record).requests;
   gateway.deadlines.emplace(record.due, number);
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -283,6 +283,7 @@
     head->service = record.verdict.service;
   }
   head->remaining = record.due - context.now;
+  head->caller_remaining = record.caller_due - context.now;
   head->runs = record.runs;
   head->software = record.software;
   StartLinkAttempt start;
--- a/src/decisions/gateway_streams.cc
+++ b/src/decisions/gateway_streams.cc
@@ -20,22 +20,21 @@
 constexpr Duration kSendDelay = std::chrono::milliseconds(20);
 // Time limit for the answers to a question.
 constexpr Duration kAnswerWithin = std::chrono::milliseconds(250);
-// Bounds of the time for which a stream may be resumed, as routes state it.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
-constexpr Duration kMaxTimeout = std::chrono::minutes(1);
 
 // Returns the time from the first event of a stream for which it may be
-// resumed: no request takes longer.
-[[nodiscard]] Duration ResumptionPeriod(const RouteCatalogue& catalogue) {
-  Duration longest = Duration::zero();
-  for (const Route& route : catalogue.routes) {
+// resumed. A caller returns until its own deadline, whatever the time-out of
+// the route is, or will be after a change of the configuration.
+[[nodiscard]] Duration ResumptionPeriod(const Gateway& gateway) {
+  Duration longest = gateway.streams.longest_deadline;
+  for (const Route& route : gateway.catalogue->routes) {
     if (route.stream) {
       longest =
           std::max(longest, route.timeout == Duration::zero() ? kDefaultTimeout
                                                               : route.timeout);
     }
   }
-  return std::min(longest, kMaxTimeout);
+  return std::min(longest, kLongestResumption);
 }
 
 [[nodiscard]] std::optional<SoftwareVersion> SoleSoftwareOf(
@@ -43,10 +42,17 @@
   // Without contact with the store, new versions may be unknown.
   return gateway.freshness.store_in_contact
              ? SoleSoftware(gateway.streams.history, service,
-                            ResumptionPeriod(*gateway.catalogue), now)
+                            ResumptionPeriod(gateway), now)
              : std::nullopt;
 }
 
+void RecordDeadline(StreamContinuity& streams, const RequestRecord& record) {
+  if (record.verdict.resumable) {
+    streams.longest_deadline =
+        std::max(streams.longest_deadline, record.caller_due - record.arrived);
+  }
+}
+
 // Returns the request under which the origin of this one's stream is known.
 [[nodiscard]] const RequestId& StreamOf(const RequestRecord& record) {
   const RequestHead& head = *record.arrival.head;
@@ -185,6 +191,7 @@
 bool SettleSoftware(StepContext& context, RequestRecord& record) {
   Gateway& gateway = context.gateway;
   const RequestHead& head = *record.arrival.head;
+  RecordDeadline(gateway.streams, record);
   if (gateway.catalogue == nullptr || !head.resume_after ||
       record.lookup.settled || !record.software.empty() ||
       !StatesSoftware(gateway.streams.history, record.verdict.service)) {
@@ -229,7 +236,7 @@
   if (stream.empty()) {
     return;
   }
-  const StreamOrigin origin{stream, software, record.due - context.now};
+  const StreamOrigin origin{stream, software, record.caller_due - context.now};
   RecordOrigin(gateway.streams.origins, origin, context.now);
   if (SoleSoftwareOf(gateway, record.verdict.service, context.now)) {
     return;
--- a/src/decisions/streams/software_history.cc
+++ b/src/decisions/streams/software_history.cc
@@ -4,14 +4,14 @@
 #include "mimosagauge/impl/decisions/streams/software_history.h"
 
 #include <algorithm>
-#include <chrono>
+
+#include "mimosagauge/impl/decisions/streams/stream_origins.h"
 
 namespace mimosagauge {
 namespace {
 
-// Versions that have been gone for longer are forgotten. No stream can be
-// resumed for that long.
-constexpr Duration kGoneTime = std::chrono::minutes(5);
+// Versions that have been gone for longer are forgotten.
+constexpr Duration kGoneTime = kLongestResumption;
 
 }  // namespace
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -153,7 +153,7 @@
         request.body_size.count(), request.credit.count(), host,
         prompt.tokens_in, prompt.tokens_out, parts, resume_after,
         route_fields ? static_cast<std::uint8_t>(head.runs) : 0, resumes,
-        software));
+        software, route_fields ? head.caller_remaining.count() : 0));
     return FrameType::kRequest;
   }
   FrameType operator()(const RequestBodyMessage& body) const {
@@ -331,6 +331,7 @@
   head.resume_after = OptionalText(table.resume_after());
   head.resumes = RequestId{Text(table.resumes())};
   head.software = SoftwareVersion{Text(table.software())};
+  head.caller_remaining = Duration{table.caller_remaining_ns()};
   request.body_size = Bytes{table.body_size()};
   request.credit = Bytes{table.credit()};
   return request;
--- a/tests/unit/link_encoding_test.cc
+++ b/tests/unit/link_encoding_test.cc
@@ -144,6 +144,7 @@
   RequestHead& head = std::get<RequestMessage>(sent[3]).head;
   head.resumes = RequestId{"9c41d07be2a35f68"};
   head.software = SoftwareVersion{"v1"};
+  head.caller_remaining = std::chrono::seconds(9);
   std::string bytes;
   for (const Message& message : sent) {
     bytes += EncodeMessage(message, version);
@@ -154,6 +155,8 @@
   CHECK(received.resumes == (version >= 3 ? head.resumes : RequestId{}));
   CHECK(received.software ==
         (version >= 3 ? head.software : SoftwareVersion{}));
+  CHECK(received.caller_remaining ==
+        (version >= 3 ? head.caller_remaining : Duration::zero()));
 }
 
 TEST_CASE("frames that do not hold are refused before memory is taken") {
--- a/tests/unit/stream_versions_test.cc
+++ b/tests/unit/stream_versions_test.cc
@@ -38,9 +38,11 @@
 }
 
 // Begins a stream, of which one event is passed on.
-[[nodiscard]] StartUpstreamAttempt Begin(FleetGateway& world) {
+[[nodiscard]] StartUpstreamAttempt Begin(FleetGateway& world,
+                                         Duration remaining = seconds(10)) {
   FleetRequest request;
   request.path = "/size/1";
+  request.remaining = remaining;
   const auto start = Find<StartUpstreamAttempt>(world.Request(request).second);
   REQUIRE(start);
   world.Answer(start->attempt, 200, true);
@@ -92,6 +94,76 @@
   }
 }
 
+// Guards against: a stream that goes on at another version, or not at all,
+// after the time-out of its route, because its origin was forgotten at that
+// moment (review/6, review/9).
+TEST_CASE("a stream's origin is known until its caller's deadline") {
+  struct Case {
+    std::string name;
+    bool begun_here;  // Otherwise at an instance that cannot be asked.
+    bool old_leaves;  // The version that began the stream.
+    bool resumed;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"both versions run", true, false, true},
+      {"the release has ended", true, true, false},
+      {"begun elsewhere", false, true, false},
+  }));
+  CAPTURE(one.name);
+  constexpr Duration kDeadline = seconds(30);
+  FleetGateway world;
+  AddEngine(world, "old-1", "v1");
+  const StartUpstreamAttempt begun = Begin(world, kDeadline);
+  AddEngine(world, "new-1", "v2");
+  world.Pass(seconds(1));
+  if (one.old_leaves) {
+    world.Give(UpstreamRemoved{UpstreamId{"old-1"}});
+  }
+  // The time-outs of all routes, which are 10 s at most, have passed.
+  world.Pass(seconds(14));
+  const auto effects = Resume(
+      world, one.begun_here ? begun.head->id.value() : std::string(kStream));
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  REQUIRE(start.has_value() == one.resumed);
+  if (start) {
+    CHECK(start->upstream == UpstreamId{"old-1"});
+  } else {
+    const auto problem = Find<SendProblem>(effects);
+    REQUIRE(problem);
+    CHECK(problem->problem.status == 503);
+    CHECK(problem->problem.run == RunState::kNotRun);
+  }
+}
+
+// Guards against: an origin that is forgotten too early by the instance that
+// began a forwarded stream, since it knows only what a route's time-out leaves.
+TEST_CASE("the caller's deadline is passed on with a forwarded stream") {
+  FleetGateway world;
+  world.Instance("mombasa-1", "mombasa");
+  AddEngine(world, "old-1", "v1");
+  auto head = std::make_shared<RequestHead>();
+  head->id = RequestId{"forwarded"};
+  head->host = "nets.example";
+  head->method = "POST";
+  head->target = head->caller_path = "/size/1";
+  head->remaining = seconds(2);
+  head->caller_remaining = seconds(30);
+  head->revision = Revision{1};
+  head->path = {{RegionId{"mombasa"}, "mombasa-1"}};
+  const auto start = Find<StartUpstreamAttempt>(
+      world.Give(RequestArrived{RequestNumber{9}, Origin::kLink, head,
+                                std::make_shared<const std::string>()}));
+  REQUIRE(start);
+  world.Answer(start->attempt, 200, true);
+  world.Give(AttemptBodyReceived{start->attempt, "id: 1\n\n", "1"});
+  AddEngine(world, "new-1", "v2");
+  world.Pass(seconds(20));
+  const auto resumed =
+      Find<StartUpstreamAttempt>(Resume(world, head->id.value()));
+  REQUIRE(resumed);
+  CHECK(resumed->upstream == UpstreamId{"old-1"});
+}
+
 enum class Knowledge {
   kOwn,          // This instance began the stream.
   kOneVersion,   // No other version has run lately.
