Conclude that one version ran only from a newer answer of the store

Cause: the only version that an instance had heard of was taken for the one that began a stream, as long as no call to the store had failed, and the conclusion was passed on like a fact.

Change: the instances that may know the origin are asked first. The conclusion takes an answer of the store, without further changes, to a call sent after the request arrived (StoreCaughtUp), and a history without a gap (StoreReread). Otherwise the request is refused as not run, at once if the answer cannot be known. Instances answer each other with facts only. Whether a resumption is placed by the coordinator follows from what runs, and a granted upstream of another version is not used.

Two tests changed. The case "one version" of "a caller's stream is resumed at its own software version only" expected the conclusion without any evidence; it became the table "that one version ran alone takes a newer answer of the store", which asks for the evidence in seven cases. "a version is the only one if the history covers the time" counts from a read of the store, no longer from the first entry, and has one more case.

--- a/include/mimosagauge/impl/decisions/effects.h
+++ b/include/mimosagauge/impl/decisions/effects.h
@@ -173,8 +173,9 @@
   InstanceViewPtr view;  ///< Never null.
 };
 
-/// \brief Reopens the watch on the store, because it missed a change that other
-/// instances have received.
+/// \brief Reopens the watch on the store and receives all changes up to now,
+/// because changes were missed, or because a decision depends on what the store
+/// contains now.
 struct ReopenWatch {};
 
 /// \brief Sends a health request to an upstream, which takes one of its slots.
--- a/include/mimosagauge/impl/decisions/events.h
+++ b/include/mimosagauge/impl/decisions/events.h
@@ -168,6 +168,16 @@
   StorePosition position;
 };
 
+/// \brief The whole store was read anew: what was written and removed between
+/// the last change received before and this read is not known.
+struct StoreReread {};
+
+/// \brief All changes that the store had acknowledged at `as_of` have been
+/// received, because a call that was sent then reported no further one.
+struct StoreCaughtUp {
+  TimePoint as_of{};
+};
+
 /// \brief Calls to the platform's store began to fail, or succeed again.
 struct StoreContactChanged {
   bool in_contact = true;
@@ -253,11 +263,11 @@
     AttemptHeadReceived, AttemptBodyReceived, AttemptEnded, AttemptFailed,
     UpstreamHealthReceived, RulesReceived, CatalogueReceived, UpstreamUpdated,
     UpstreamRemoved, ZoneEvacuated, InstanceUpdated, InstanceRemoved,
-    LinkChanged, StoreRevisionSeen, StoreContactChanged, LoadReceived,
-    GossipReceived, ClaimStoreAnswered, DrainRequested, Tick, TrafficReceived,
-    PlacementReceived, ConfigurationConfirmed, ConfirmationReceived,
-    RegistrationsReceived, LeaseRenewed, AllowanceReceived, StreamsReceived,
-    SoftwareSeen>;
+    LinkChanged, StoreRevisionSeen, StoreReread, StoreCaughtUp,
+    StoreContactChanged, LoadReceived, GossipReceived, ClaimStoreAnswered,
+    DrainRequested, Tick, TrafficReceived, PlacementReceived,
+    ConfigurationConfirmed, ConfirmationReceived, RegistrationsReceived,
+    LeaseRenewed, AllowanceReceived, StreamsReceived, SoftwareSeen>;
 
 }  // namespace mimosagauge
 
--- a/include/mimosagauge/impl/decisions/gateway.h
+++ b/include/mimosagauge/impl/decisions/gateway.h
@@ -104,9 +104,8 @@
   /// Version that began the stream, which alone may continue it; empty: no
   /// event has been received, or the version is not known.
   SoftwareVersion software;
-  /// What this instance asked about the origin of the stream that the caller
-  /// resumes.
-  StreamLookup lookup;
+  /// It waits until the version that began the stream is found.
+  bool awaits_origin = false;
   bool origin_recorded = false;  ///< Of the stream that is its answer.
   bool resuming = false;         ///< The attempt continues a stream that broke.
   std::optional<std::string> last_event_id;  ///< Id of the last event that
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -416,18 +416,17 @@
 /// answers of other instances, or the record is no longer valid.
 [[nodiscard]] bool SettleSoftware(StepContext& context, RequestRecord& record);
 
-/// \returns Whether the request continues a stream and its service has run
-/// several versions, so that not every upstream can continue it.
+/// \returns Whether the request continues a stream and its service runs other
+/// versions too, so that not every upstream can continue it.
 [[nodiscard]] bool IsBoundToSoftware(const Gateway& gateway,
-                                     const RequestRecord& record,
-                                     TimePoint now);
+                                     const RequestRecord& record);
 
 /// \brief Records which version began the stream of the running attempt, when
 /// its first event is received.
 void RecordStreamOrigin(StepContext& context, RequestRecord& record);
 
-/// \brief Sends the messages about the origins of streams that are due, and
-/// refuses the requests whose question was not answered in time.
+/// \brief Sends the messages and questions about the origins of streams that
+/// are due, and ends the searches that were not answered in time.
 void MaintainStreams(StepContext& context);
 
 /// \brief Applies what another instance of this region knows of upstreams.
@@ -513,6 +512,8 @@
 void Handle(StepContext& context, InstanceUpdated&& event);
 void Handle(StepContext& context, InstanceRemoved&& event);
 void Handle(StepContext& context, StoreRevisionSeen&& event);
+void Handle(StepContext& context, StoreReread&& event);
+void Handle(StepContext& context, StoreCaughtUp&& event);
 void Handle(StepContext& context, StoreContactChanged&& event);
 void Handle(StepContext& context, UpstreamHealthReceived&& event);
 void Handle(StepContext& context, LoadReceived&& event);
--- a/include/mimosagauge/impl/decisions/streams/software_history.h
+++ b/include/mimosagauge/impl/decisions/streams/software_history.h
@@ -26,11 +26,16 @@
   std::unordered_map<UpstreamId, Running> running;
   /// By service; each version at most once.
   std::unordered_map<ServiceId, std::vector<Gone>> gone;
-  /// All versions that ran from this time on are known; empty: no upstream has
-  /// been recorded yet.
+  /// All versions that ran from this time on are known; empty: the store has
+  /// not been read yet. Later than now for a while after it was read, when
+  /// entries may still return that had lapsed.
   std::optional<TimePoint> complete_since;
 };
 
+/// \brief Records that the store was read as a whole: versions that ran before
+/// and have gone are not known.
+void RecordFullRead(SoftwareHistory& history, TimePoint now);
+
 /// \brief Records that an upstream of the service runs this version.
 void RecordSoftware(SoftwareHistory& history, const UpstreamId& upstream,
                     const ServiceId& service, const SoftwareVersion& software,
@@ -45,9 +50,16 @@
 [[nodiscard]] bool StatesSoftware(const SoftwareHistory& history,
                                   const ServiceId& service);
 
+/// \returns Whether all running upstreams of the service run this version, and
+/// at least one does.
+[[nodiscard]] bool RunsOnly(const SoftwareHistory& history,
+                            const ServiceId& service,
+                            const SoftwareVersion& software);
+
 /// \returns The only version that upstreams of the service have run within
 /// `period`; empty if there were several or none, or if the history does not
-/// cover that time.
+/// cover that time. It says nothing of changes of the store that have not been
+/// received yet.
 [[nodiscard]] std::optional<SoftwareVersion> SoleSoftware(
     const SoftwareHistory& history, const ServiceId& service, Duration period,
     TimePoint now);
--- a/include/mimosagauge/impl/duties/store/fleet_duty.h
+++ b/include/mimosagauge/impl/duties/store/fleet_duty.h
@@ -77,9 +77,9 @@
   void Start();
   /// \brief Revokes this instance's registration. The store is still watched.
   void Leave();
-  /// \brief Ignores the poll in progress, which may have stalled, and starts a
-  /// new one on a new connection. Has no effect while the whole store is being
-  /// read.
+  /// \brief Ignores the poll in progress, which may have stalled, and polls on
+  /// a new connection, without a pause until no change is left. Has no effect
+  /// while the whole store is being read.
   void Reopen();
   /// \brief Ends all calls and timers.
   void Stop();
@@ -174,6 +174,8 @@
   bool leaving_ = false;
   // Number of the newest poll.
   std::uint64_t poll_number_ = 0;
+  // Polls that still follow without a pause after the watch was reopened.
+  int prompt_polls_left_ = 0;
   // Answers to polls with a lower number are ignored.
   std::uint64_t oldest_poll_ = 1;
   // Polls from `oldest_poll_` on that are not answered; at most
--- a/src/decisions/gateway_coordination.cc
+++ b/src/decisions/gateway_coordination.cc
@@ -136,7 +136,11 @@
                                    engine->config.id.value()};
   const bool tried = std::find(record.visited.begin(), record.visited.end(),
                                place) != record.visited.end();
-  const bool usable = !tried && !engine->leaving && !engine->evacuated &&
+  // Another version may have joined since the coordinator was asked.
+  const bool fits =
+      record.software.empty() || record.software == engine->config.software;
+  const bool usable = !tried && fits && !engine->leaving &&
+                      !engine->evacuated &&
                       engine->config.service == record.verdict.service &&
                       IsEligible(engine->health, context.now) &&
                       AllowsRequest(engine->rate, context.now);
@@ -241,8 +245,7 @@
   const auto coordinator = state.coordinators.find(record.verdict.service);
   if (coordinator == state.coordinators.end() ||
       record.placement.phase == PlacementPhase::kLocal ||
-      IsBoundToSoftware(gateway, record, context.now) ||
-      record.queue_position ||
+      IsBoundToSoftware(gateway, record) || record.queue_position ||
       !AllowsRegion(record.verdict, gateway.config.region)) {
     return false;
   }
--- a/src/decisions/gateway_streams.cc
+++ b/src/decisions/gateway_streams.cc
@@ -18,8 +18,14 @@
 constexpr std::size_t kAsked = 3;
 // Time in which origins are gathered into one message.
 constexpr Duration kSendDelay = std::chrono::milliseconds(20);
-// Time limit for the answers to a question.
+// Time limit for the answers of the own region's instances.
 constexpr Duration kAnswerWithin = std::chrono::milliseconds(250);
+// Time limit for the answers of the store, in another region and on a new
+// connection.
+constexpr Duration kBeyondWithin = std::chrono::milliseconds(500);
+// Shortest interval at which the store is asked for an answer that covers the
+// present.
+constexpr Duration kStoreInterval = std::chrono::milliseconds(100);
 constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
 
 // Returns the time from the first event of a stream for which it may be
@@ -37,13 +43,12 @@
   return std::min(longest, kLongestResumption);
 }
 
-[[nodiscard]] std::optional<SoftwareVersion> SoleSoftwareOf(
+// Returns the only version that may have begun a stream which a caller resumes
+// now, as far as this instance has heard: the store may know of another one.
+[[nodiscard]] std::optional<SoftwareVersion> SoleSoftwareHeard(
     const Gateway& gateway, const ServiceId& service, TimePoint now) {
-  // Without contact with the store, new versions may be unknown.
-  return gateway.freshness.store_in_contact
-             ? SoleSoftware(gateway.streams.history, service,
-                            ResumptionPeriod(gateway), now)
-             : std::nullopt;
+  return SoleSoftware(gateway.streams.history, service,
+                      ResumptionPeriod(gateway), now);
 }
 
 void RecordDeadline(StreamContinuity& streams, const RequestRecord& record) {
@@ -88,18 +93,12 @@
   }
 }
 
-void CloseLookup(Gateway& gateway, RequestRecord& record) {
-  record.lookup.open_questions = 0;
-  gateway.streams.asking.erase(record.arrival.number);
-}
-
 void Settle(RequestRecord& record, const SoftwareVersion& software) {
   record.software = software;
-  record.lookup.settled = true;
+  record.awaits_origin = false;
 }
 
 void RefuseUnknownOrigin(StepContext& context, RequestRecord& record) {
-  CloseLookup(context.gateway, record);
   context.effects.emplace_back(
       WriteLog{log_events::kStreamOriginUnknown,
                {{"request", record.arrival.head->id.value()},
@@ -108,42 +107,112 @@
   RefuseOrAbort(context, record, StreamOriginUnknown(record.outcome.run));
 }
 
-// Asks the instances that keep the origin of the stream.
-// \returns Whether there are any.
-[[nodiscard]] bool AskKeepers(StepContext& context, RequestRecord& record) {
+// Asks these instances for the origin of the stream.
+void Ask(StepContext& context, const RequestId& stream, StreamLookup& lookup,
+         const std::vector<InstanceId>& instances) {
+  for (const InstanceId& instance : instances) {
+    MessageTo(context, instance, Duration::zero())
+        .questions.push_back({stream, lookup.service});
+    lookup.awaited.insert(instance);
+  }
+}
+
+// Asks the store for an answer that covers the present, if the last one was
+// asked for long enough ago.
+void AskStore(StepContext& context) {
   StreamContinuity& streams = context.gateway.streams;
-  const RequestId& stream = StreamOf(record);
-  const std::vector<InstanceId> keepers =
-      stream.empty() ? std::vector<InstanceId>()
-                     : OtherKeepers(context.gateway, stream, kAsked);
-  for (const InstanceId& keeper : keepers) {
-    MessageTo(context, keeper, Duration::zero())
-        .questions.push_back({stream, record.verdict.service});
-  }
-  if (keepers.empty()) {
-    return false;
+  streams.store_question_due =
+      context.now < streams.store_asked_at + kStoreInterval;
+  if (!streams.store_question_due) {
+    streams.store_asked_at = context.now;
+    context.effects.emplace_back(ForPlatform{ReopenWatch{}});
   }
-  record.lookup.open_questions = keepers.size();
-  streams.asking.emplace(record.arrival.number, stream);
-  streams.deadlines.emplace(context.now + kAnswerWithin, record.arrival.number);
-  return true;
 }
 
-// Returns the requests that wait for the origin of this stream.
-[[nodiscard]] std::vector<RequestNumber> Asking(const Gateway& gateway,
-                                                const RequestId& stream) {
-  std::vector<RequestNumber> numbers;
-  for (const auto& [number, asked] : gateway.streams.asking) {
-    if (asked == stream) {
-      numbers.push_back(number);
+// Waits until the store has shown whether only one version has run, if this
+// instance has not heard of several.
+void AwaitStore(StepContext& context, StreamLookup& lookup) {
+  const Gateway& gateway = context.gateway;
+  lookup.awaits_store =
+      gateway.freshness.store_in_contact &&
+      SoleSoftwareHeard(gateway, lookup.service, context.now).has_value();
+  if (lookup.awaits_store) {
+    AskStore(context);
+  }
+}
+
+// Ends the search. The version is known if `software` is not null; whether it
+// is a fact or a conclusion does not matter to the requests that wait.
+void EndLookup(StepContext& context, const RequestId& stream,
+               const SoftwareVersion* software) {
+  Gateway& gateway = context.gateway;
+  const StreamLookup lookup = CloseLookup(gateway.streams.lookups, stream);
+  for (const RequestNumber number : lookup.requests) {
+    RequestRecord* record = FindRequest(gateway, number);
+    if (record == nullptr) {
+      continue;
     }
+    if (software == nullptr) {
+      RefuseUnknownOrigin(context, *record);
+      continue;
+    }
+    Settle(*record, *software);
+    PlaceRequest(context, number);
+  }
+}
+
+// Goes on to the next stage of the search, or ends it.
+void StartNextStage(StepContext& context, const RequestId& stream,
+                    StreamLookup& lookup) {
+  if (lookup.stage == LookupStage::kBeyond) {
+    return EndLookup(context, stream, nullptr);
+  }
+  lookup.stage = LookupStage::kBeyond;
+  lookup.awaited.clear();
+  AwaitStore(context, lookup);
+  if (!IsAwaiting(lookup)) {
+    return EndLookup(context, stream, nullptr);
+  }
+  SetDeadline(context.gateway.streams.lookups, stream, lookup,
+              context.now + kBeyondWithin);
+}
+
+// Searches for the origin of the stream that the request resumes. The record
+// may have ended when this returns.
+void SearchOrigin(StepContext& context, RequestRecord& record) {
+  StreamLookups& lookups = context.gateway.streams.lookups;
+  const RequestId stream = StreamOf(record);
+  StreamLookup* lookup = FindLookup(lookups, stream);
+  const bool is_new = lookup == nullptr;
+  if (is_new) {
+    lookup = &OpenLookup(lookups, stream, record.verdict.service);
+  }
+  record.awaits_origin = true;
+  lookup->requests.push_back(record.arrival.number);
+  lookup->arrived = context.now;
+  if (!is_new) {
+    if (lookup->awaits_store) {
+      AskStore(context);
+    }
+    return;
+  }
+  // Without the name of the stream nobody can look it up.
+  if (!stream.empty()) {
+    Ask(context, stream, *lookup,
+        OtherKeepers(context.gateway, stream, kAsked));
   }
-  return numbers;
+  if (!IsAwaiting(*lookup)) {
+    return StartNextStage(context, stream, *lookup);
+  }
+  SetDeadline(lookups, stream, *lookup, context.now + kAnswerWithin);
 }
 
 void ApplyOrigin(StepContext& context, const InstanceId& from,
                  const StreamOrigin& origin) {
   Gateway& gateway = context.gateway;
+  if (origin.request.empty()) {
+    return;
+  }
   RecordOrigin(gateway.streams.origins, origin, context.now);
   const PeerState* sender = FindPeer(gateway, from);
   // The upstream is in another region, whose instances a caller that resumes
@@ -151,26 +220,20 @@
   if (sender != nullptr && !IsInOwnRegion(gateway, *sender)) {
     TellKeepers(context, origin);
   }
-  for (const RequestNumber number : Asking(gateway, origin.request)) {
-    RequestRecord* record = FindRequest(gateway, number);
-    if (record == nullptr) {
-      continue;
-    }
-    CloseLookup(gateway, *record);
-    Settle(*record, origin.software);
-    PlaceRequest(context, number);
-  }
+  EndLookup(context, origin.request, &origin.software);
 }
 
-void ApplyUnknown(StepContext& context, const RequestId& stream) {
-  for (const RequestNumber number : Asking(context.gateway, stream)) {
-    RequestRecord* record = FindRequest(context.gateway, number);
-    if (record != nullptr && --record->lookup.open_questions == 0) {
-      RefuseUnknownOrigin(context, *record);
-    }
+void ApplyUnknown(StepContext& context, const InstanceId& from,
+                  const RequestId& stream) {
+  StreamLookup* lookup = FindLookup(context.gateway.streams.lookups, stream);
+  if (lookup != nullptr && lookup->awaited.erase(from) > 0 &&
+      !IsAwaiting(*lookup)) {
+    StartNextStage(context, stream, *lookup);
   }
 }
 
+// Answers only with what this instance knows as a fact. That only one version
+// has run is a conclusion, which the instance that asks has to draw itself.
 void AnswerStreamQuestion(StepContext& context, const InstanceId& from,
                           const StreamQuestion& question) {
   Gateway& gateway = context.gateway;
@@ -178,14 +241,24 @@
   if (auto origin =
           FindOrigin(gateway.streams.origins, question.request, context.now)) {
     answer.origins.push_back(*std::move(origin));
-  } else if (const auto sole =
-                 SoleSoftwareOf(gateway, question.service, context.now)) {
-    answer.origins.push_back({question.request, *sole, Duration::zero()});
   } else {
     answer.unknown.push_back(question.request);
   }
 }
 
+// Returns the searches that an answer of the store decides which covers all up
+// to `as_of`.
+[[nodiscard]] std::vector<RequestId> LookupsCoveredBy(
+    const StreamLookups& lookups, TimePoint as_of) {
+  std::vector<RequestId> covered;
+  for (const auto& [stream, lookup] : lookups.open) {
+    if (lookup.awaits_store && lookup.arrived <= as_of) {
+      covered.push_back(stream);
+    }
+  }
+  return covered;
+}
+
 }  // namespace
 
 bool SettleSoftware(StepContext& context, RequestRecord& record) {
@@ -193,11 +266,11 @@
   const RequestHead& head = *record.arrival.head;
   RecordDeadline(gateway.streams, record);
   if (gateway.catalogue == nullptr || !head.resume_after ||
-      record.lookup.settled || !record.software.empty() ||
+      !record.software.empty() ||
       !StatesSoftware(gateway.streams.history, record.verdict.service)) {
     return true;
   }
-  if (record.lookup.open_questions > 0) {
+  if (record.awaits_origin) {
     return false;
   }
   if (const auto origin =
@@ -205,21 +278,14 @@
     Settle(record, origin->software);
     return true;
   }
-  if (const auto sole =
-          SoleSoftwareOf(gateway, record.verdict.service, context.now)) {
-    Settle(record, *sole);
-    return true;
-  }
-  if (!AskKeepers(context, record)) {
-    RefuseUnknownOrigin(context, record);
-  }
+  SearchOrigin(context, record);
   return false;
 }
 
-bool IsBoundToSoftware(const Gateway& gateway, const RequestRecord& record,
-                       TimePoint now) {
+bool IsBoundToSoftware(const Gateway& gateway, const RequestRecord& record) {
   return gateway.catalogue != nullptr && !record.software.empty() &&
-         !SoleSoftwareOf(gateway, record.verdict.service, now);
+         !RunsOnly(gateway.streams.history, record.verdict.service,
+                   record.software);
 }
 
 void RecordStreamOrigin(StepContext& context, RequestRecord& record) {
@@ -238,7 +304,7 @@
   }
   const StreamOrigin origin{stream, software, record.caller_due - context.now};
   RecordOrigin(gateway.streams.origins, origin, context.now);
-  if (SoleSoftwareOf(gateway, record.verdict.service, context.now)) {
+  if (SoleSoftwareHeard(gateway, record.verdict.service, context.now)) {
     return;
   }
   TellKeepers(context, origin);
@@ -252,15 +318,11 @@
   Gateway& gateway = context.gateway;
   StreamContinuity& streams = gateway.streams;
   ExpireOrigins(streams.origins, context.now);
-  while (!streams.deadlines.empty() &&
-         streams.deadlines.begin()->first <= context.now) {
-    const RequestNumber number = streams.deadlines.begin()->second;
-    streams.deadlines.erase(streams.deadlines.begin());
-    streams.asking.erase(number);
-    RequestRecord* record = FindRequest(gateway, number);
-    if (record != nullptr && record->lookup.open_questions > 0) {
-      RefuseUnknownOrigin(context, *record);
-    }
+  while (const auto due = FirstDue(streams.lookups, context.now)) {
+    StartNextStage(context, *due, *FindLookup(streams.lookups, *due));
+  }
+  if (streams.store_question_due) {
+    AskStore(context);
   }
   if (streams.outbox.empty() || streams.send_at > context.now) {
     return;
@@ -278,13 +340,32 @@
     ApplyOrigin(context, event.from, origin);
   }
   for (const RequestId& stream : event.message.unknown) {
-    ApplyUnknown(context, stream);
+    ApplyUnknown(context, event.from, stream);
   }
   for (const StreamQuestion& question : event.message.questions) {
     AnswerStreamQuestion(context, event.from, question);
   }
 }
 
+void Handle(StepContext& context, StoreReread&& /*event*/) {
+  RecordFullRead(context.gateway.streams.history, context.now);
+}
+
+void Handle(StepContext& context, StoreCaughtUp&& event) {
+  Gateway& gateway = context.gateway;
+  StreamLookups& lookups = gateway.streams.lookups;
+  for (const RequestId& stream : LookupsCoveredBy(lookups, event.as_of)) {
+    StreamLookup& lookup = *FindLookup(lookups, stream);
+    const auto sole = SoleSoftwareHeard(gateway, lookup.service, context.now);
+    lookup.awaits_store = false;
+    if (sole) {
+      EndLookup(context, stream, &*sole);
+    } else if (!IsAwaiting(lookup)) {
+      StartNextStage(context, stream, lookup);
+    }
+  }
+}
+
 void Handle(StepContext& context, SoftwareSeen&& event) {
   RecordSoftware(context.gateway.streams.history, event.upstream, event.service,
                  event.software, context.now);
--- a/src/decisions/streams/software_history.cc
+++ b/src/decisions/streams/software_history.cc
@@ -4,6 +4,7 @@
 #include "mimosagauge/impl/decisions/streams/software_history.h"
 
 #include <algorithm>
+#include <chrono>
 
 #include "mimosagauge/impl/decisions/streams/stream_origins.h"
 
@@ -12,15 +13,19 @@
 
 // Versions that have been gone for longer are forgotten.
 constexpr Duration kGoneTime = kLongestResumption;
+// Entries of running upstreams that had lapsed have returned within this time
+// after a read.
+constexpr Duration kReturnTime = std::chrono::seconds(3);
 
 }  // namespace
 
+void RecordFullRead(SoftwareHistory& history, TimePoint now) {
+  history.complete_since = now + kReturnTime;
+}
+
 void RecordSoftware(SoftwareHistory& history, const UpstreamId& upstream,
                     const ServiceId& service, const SoftwareVersion& software,
                     TimePoint now) {
-  if (!history.complete_since) {
-    history.complete_since = now;
-  }
   const auto known = history.running.find(upstream);
   if (known != history.running.end()) {
     if (known->second.service == service &&
@@ -63,6 +68,18 @@
                                   }));
 }
 
+bool RunsOnly(const SoftwareHistory& history, const ServiceId& service,
+              const SoftwareVersion& software) {
+  bool runs = false;
+  for (const auto& [upstream, running] : history.running) {
+    if (running.service == service && running.software != software) {
+      return false;
+    }
+    runs = runs || running.service == service;
+  }
+  return runs;
+}
+
 std::optional<SoftwareVersion> SoleSoftware(const SoftwareHistory& history,
                                             const ServiceId& service,
                                             Duration period, TimePoint now) {
--- a/src/duties/store/fleet_duty.cc
+++ b/src/duties/store/fleet_duty.cc
@@ -27,6 +27,9 @@
 // repetition is the one that is received if the connection of the first goes
 // silent too.
 constexpr std::size_t kMaxParallelPolls = 3;
+// After the watch was reopened, polls follow each other without a pause until
+// one reports no changes, but at most this many.
+constexpr int kMaxPromptPolls = 5;
 // How long the store holds a poll that is to be answered at once.
 constexpr Duration kNoWait = std::chrono::milliseconds(1);
 // A lease is renewed this many times within its lifetime.
@@ -357,6 +360,7 @@
       PostEntry(entry);
     }
   }
+  decisions_.Post(StoreReread{});
   PostConfirmation(read.started_at, read.started_at);
   PostRegistrations();
   const auto own = read.entries.find(RegistrationKey());
@@ -381,6 +385,7 @@
   }
   watch_timer_.cancel();
   store_->DropIdleConnections();
+  prompt_polls_left_ = kMaxPromptPolls;
   StartPolls(kNoWait);
 }
 
@@ -503,8 +508,15 @@
   PostConfirmation(sent_at, MonotonicNow());
   PostRegistrations();
   if (update.changes.empty()) {
+    prompt_polls_left_ = 0;
+    // An answer with changes need not contain all of them.
+    decisions_.Post(StoreCaughtUp{sent_at});
     return Poll();
   }
+  if (prompt_polls_left_ > 0) {
+    --prompt_polls_left_;
+    return StartPolls(kNoWait);
+  }
   RunAfter(times_.batch, &FleetDuty::Poll);
 }
 
--- a/tests/unit/fleet_duty_test.cc
+++ b/tests/unit/fleet_duty_test.cc
@@ -13,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "mimosagauge/impl/duties/common/monotonic_clock.h"
 #include "mimosagauge/impl/settings/settings.h"
 #include "platform/adapter.h"
 #include "tests/support/platform_store.h"
@@ -73,6 +74,16 @@
     const std::lock_guard lock(mutex_);
     return versions_;
   }
+  /// \returns Until when all changes are reported to have been received.
+  [[nodiscard]] TimePoint caught_up_to() {
+    const std::lock_guard lock(mutex_);
+    return caught_up_to_;
+  }
+  /// \returns The number of reads of the whole store.
+  [[nodiscard]] std::size_t rereads() {
+    const std::lock_guard lock(mutex_);
+    return rereads_;
+  }
   /// \returns The number of times that the configuration was confirmed.
   [[nodiscard]] std::size_t confirmations() {
     const std::lock_guard lock(mutex_);
@@ -109,6 +120,10 @@
       Forget("servers/" + removed->id.value());
     } else if (std::holds_alternative<ConfigurationConfirmed>(event)) {
       ++confirmations_;
+    } else if (const auto* caught_up = std::get_if<StoreCaughtUp>(&event)) {
+      caught_up_to_ = caught_up->as_of;
+    } else if (std::holds_alternative<StoreReread>(event)) {
+      ++rereads_;
     } else if (const auto* received = std::get_if<CatalogueReceived>(&event)) {
       versions_.push_back(received->catalogue->revision.value());
     } else if (const auto* evacuated = std::get_if<ZoneEvacuated>(&event)) {
@@ -136,6 +151,8 @@
   std::set<std::string> known_;
   std::size_t removals_ = 0;
   std::size_t confirmations_ = 0;
+  std::size_t rereads_ = 0;
+  TimePoint caught_up_to_{};
   std::vector<std::uint64_t> versions_;
   std::thread thread_;
 };
@@ -197,6 +214,33 @@
   CHECK(WaitUntil([&] { return duty.Known().size() == 1; }));
 }
 
+// Guards against: a decision that relies on the store's present content but is
+// made before a change that the store has acknowledged is received (review/7),
+// and a gap in the history that is not reported.
+TEST_CASE("a reopened watch reports that all changes were received") {
+  const bool compacted = GENERATE(false, true);
+  CAPTURE(compacted);
+  PlatformStore store;
+  PutWorld(store);
+  RunningFleetDuty duty(store);
+  REQUIRE(WaitUntil([&] { return store.CallCount("kv-watch") >= 1; }));
+  CHECK(duty.rereads() == 1);
+  // The poll in progress stalls.
+  store.SilenceOpenConnections();
+  store.Put("servers/i-2",
+            R"({"service":"s","addr":"127.0.0.1:9","zone":"nairobi-a",
+                "slots":4,"state":"ready","coldLeftMs":0,"seq":1})");
+  if (compacted) {
+    store.Compact();
+  }
+  const TimePoint reopened = MonotonicNow();
+  CHECK(duty.caught_up_to() < reopened);
+  duty.Reopen();
+  REQUIRE(WaitUntil([&] { return duty.caught_up_to() >= reopened; }));
+  CHECK(duty.Known().count("servers/i-2") == 1);
+  CHECK(duty.rereads() == (compacted ? 2 : 1));
+}
+
 // Guards against: polls that are held so long that keys are refused, and
 // confirmations, or more calls of the store, where revocation is not strict.
 TEST_CASE("answered calls confirm the configuration where that is strict") {
--- a/tests/unit/stream_versions_test.cc
+++ b/tests/unit/stream_versions_test.cc
@@ -1,7 +1,9 @@
 // Streams that broke off are continued by the software version that began them.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -112,6 +114,8 @@
   CAPTURE(one.name);
   constexpr Duration kDeadline = seconds(30);
   FleetGateway world;
+  world.Give(StoreReread{});
+  world.Pass(seconds(60));
   AddEngine(world, "old-1", "v1");
   const StartUpstreamAttempt begun = Begin(world, kDeadline);
   AddEngine(world, "new-1", "v2");
@@ -121,8 +125,12 @@
   }
   // The time-outs of all routes, which are 10 s at most, have passed.
   world.Pass(seconds(14));
-  const auto effects = Resume(
+  auto effects = Resume(
       world, one.begun_here ? begun.head->id.value() : std::string(kStream));
+  if (!one.begun_here) {
+    const auto later = world.Give(StoreCaughtUp{world.now()});
+    effects.insert(effects.end(), later.begin(), later.end());
+  }
   const auto start = Find<StartUpstreamAttempt>(effects);
   REQUIRE(start.has_value() == one.resumed);
   if (start) {
@@ -166,7 +174,6 @@
 
 enum class Knowledge {
   kOwn,          // This instance began the stream.
-  kOneVersion,   // No other version has run lately.
   kToldBefore,   // Another instance told its origin.
   kKeeperKnows,  // An instance that is asked knows it.
   kUnknown,      // All that are asked do not know it.
@@ -179,9 +186,9 @@
 // software version, or that is refused although its version is known.
 TEST_CASE("a caller's stream is resumed at its own software version only") {
   const Knowledge knowledge =
-      GENERATE(Knowledge::kOwn, Knowledge::kOneVersion, Knowledge::kToldBefore,
-               Knowledge::kKeeperKnows, Knowledge::kUnknown, Knowledge::kSilent,
-               Knowledge::kNoOneToAsk, Knowledge::kForwarded);
+      GENERATE(Knowledge::kOwn, Knowledge::kToldBefore, Knowledge::kKeeperKnows,
+               Knowledge::kUnknown, Knowledge::kSilent, Knowledge::kNoOneToAsk,
+               Knowledge::kForwarded);
   CAPTURE(static_cast<int>(knowledge));
   const StreamOrigin origin{RequestId{kStream}, SoftwareVersion{"v1"},
                             seconds(5)};
@@ -195,15 +202,11 @@
   if (knowledge == Knowledge::kOwn) {
     stream = "r2";  // The first request of this world.
     static_cast<void>(Begin(world));
-  } else if (knowledge == Knowledge::kOneVersion) {
-    world.Pass(seconds(61));
   } else if (knowledge == Knowledge::kToldBefore) {
     world.Give(StreamsReceived{keeper, {{origin}, {}, {}}});
   }
-  if (knowledge != Knowledge::kOneVersion) {
-    for (const char* id : {"new-1", "new-2", "new-3"}) {
-      AddEngine(world, id, "v2");
-    }
+  for (const char* id : {"new-1", "new-2", "new-3"}) {
+    AddEngine(world, id, "v2");
   }
   std::vector<Effect> effects =
       Resume(world, stream, knowledge == Knowledge::kForwarded ? "v1" : "");
@@ -242,6 +245,100 @@
   }
 }
 
+// Whether the effects ask the store for all changes up to now.
+[[nodiscard]] bool AsksStore(const std::vector<Effect>& effects) {
+  return std::any_of(effects.begin(), effects.end(), [](const Effect& effect) {
+    const auto* platform = std::get_if<ForPlatform>(&effect);
+    return platform != nullptr &&
+           std::holds_alternative<ReopenWatch>(platform->effect);
+  });
+}
+
+// An instance that has known one version for a minute, and no other instance.
+[[nodiscard]] FleetGateway WorldOfOneVersion() {
+  FleetGateway world;
+  world.Give(StoreReread{});
+  AddEngine(world, "old-1", "v1");
+  world.Pass(seconds(60));
+  return world;
+}
+
+// Guards against: a stream that goes on at the only version that an instance
+// has heard of, while it lags behind the store (review/7).
+TEST_CASE("that one version ran alone takes a newer answer of the store") {
+  struct Case {
+    std::string name;
+    std::function<void(FleetGateway&)> before;  // Before the request arrives.
+    bool asks;                                  // Whether the store is asked.
+    std::function<std::vector<Effect>(FleetGateway&)> after;
+    bool resumed;
+  };
+  const auto nothing = [](FleetGateway& /*world*/) {};
+  const auto passes = [](FleetGateway& world) {
+    return world.Pass(milliseconds(600));
+  };
+  const auto caught_up = [](FleetGateway& world) {
+    return world.Give(StoreCaughtUp{world.now()});
+  };
+  const std::vector<Case> cases{
+      {"the store confirms it", nothing, true, caught_up, true},
+      {"the store does not answer", nothing, true, passes, false},
+      {"the answer is to a call sent before the request", nothing, true,
+       [&](FleetGateway& world) {
+         world.Give(StoreCaughtUp{world.now() - milliseconds(1)});
+         return passes(world);
+       },
+       false},
+      {"the store reports another version", nothing, true,
+       [&](FleetGateway& world) {
+         AddEngine(world, "new-1", "v2");
+         return caught_up(world);
+       },
+       false},
+      {"another version ran while changes were missed",
+       [](FleetGateway& world) { world.Give(StoreReread{}); }, false, passes,
+       false},
+      {"the store is out of contact",
+       [](FleetGateway& world) { world.Give(StoreContactChanged{false}); },
+       false, passes, false},
+      {"another version has run",
+       [](FleetGateway& world) {
+         AddEngine(world, "new-1", "v2");
+         world.Give(UpstreamRemoved{UpstreamId{"new-1"}});
+       },
+       false, passes, false},
+  };
+  const Case& one = cases[GENERATE(range(std::size_t{0}, std::size_t{7}))];
+  CAPTURE(one.name);
+  FleetGateway world = WorldOfOneVersion();
+  one.before(world);
+  std::vector<Effect> effects = Resume(world);
+  CHECK(AsksStore(effects) == one.asks);
+  CHECK_FALSE(Find<StartUpstreamAttempt>(effects));
+  // If the answer cannot be known, the request is refused at once.
+  CHECK(Find<SendProblem>(effects).has_value() == !one.asks);
+  if (one.asks) {
+    effects = one.after(world);
+    const auto start = Find<StartUpstreamAttempt>(effects);
+    CHECK(start.has_value() == one.resumed);
+    CHECK(Find<SendProblem>(effects).has_value() == !one.resumed);
+  }
+  CHECK(world.gateway().streams.lookups.open.empty());
+}
+
+// Guards against: an instance that records as a fact what another one concluded
+// from its own knowledge of the store (review/7).
+TEST_CASE("an instance tells another one no conclusion") {
+  FleetGateway world = WorldOfOneVersion();
+  world.Instance("nairobi-2", "nairobi");
+  const auto answer = Find<SendStreams>(world.Give(
+      StreamsReceived{InstanceId{"nairobi-2"},
+                      {{}, {{RequestId{kStream}, ServiceId{"engines"}}}, {}}}));
+  REQUIRE(answer);
+  CHECK(answer->message.origins.empty());
+  CHECK(answer->message.unknown == std::vector<RequestId>{RequestId{kStream}});
+}
+
 // Guards against: lookups that are kept for requests that have ended.
 TEST_CASE("a lookup ends with its request") {
   const bool abandoned = GENERATE(true, false);
@@ -254,8 +351,8 @@
     world.Give(RequestAbandoned{RequestNumber{9000}});
   }
   world.Pass(seconds(1));
-  CHECK(world.gateway().streams.asking.empty());
-  CHECK(world.gateway().streams.deadlines.empty());
+  CHECK(world.gateway().streams.lookups.open.empty());
+  CHECK(world.gateway().streams.lookups.deadlines.empty());
 }
 
 // Guards against: a stream whose origin is lost with the instance that served
@@ -298,19 +395,21 @@
   struct Case {
     std::string name;
     Duration other_gone;  // How long the other version has been gone.
-    Duration known;       // How long this instance has known upstreams.
+    Duration known;       // How long ago this instance has read the store.
     bool sole;
   };
   const Case one = GENERATE(values<Case>({
       {"other gone for long", seconds(12), seconds(20), true},
       {"other gone just now", seconds(3), seconds(20), false},
       {"other runs", Duration::zero(), seconds(20), false},
-      {"started just now", seconds(12), seconds(12) + milliseconds(1), true},
+      {"started just now", seconds(12), seconds(13) + milliseconds(1), true},
+      {"entries may still be missing", seconds(12), seconds(12), false},
   }));
   CAPTURE(one.name);
   const TimePoint now{seconds(1000)};
   const ServiceId service{"engines"};
   SoftwareHistory history;
+  RecordFullRead(history, now - one.known);
   RecordSoftware(history, UpstreamId{"a"}, service, SoftwareVersion{"v2"},
                  now - one.known);
   RecordSoftware(history, UpstreamId{"b"}, service, SoftwareVersion{"v1"},
