Tell the origin of each stream to other regions, and always

Cause: origins were told to the own region only, and only once several versions had been heard of. Both are lost with the region, or with the instance.

Change: the origin of a stream that may be resumed is always told, to two instances of the own region and to one of each other region, which tells one more there. If the own region does not know an origin, the others are asked. Metrics count what that costs, and how resumed streams were decided.

The test "other instances are told which version began a stream" expected no message while one version runs alone; that was the fault. It now expects the same messages in both cases, to all regions.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -141,6 +141,11 @@
     "a resumed stream was refused because it is not known which software "
     "version began it",
     "no action; it happens while versions change and instances restart"};
+inline constexpr LogEvent kStreamOriginConcluded{
+    8358, LogLevel::kInfo,
+    "a resumed stream whose origin is not known goes on, since the store has "
+    "shown that only one software version ran",
+    ""};
 inline constexpr LogEvent kUpstreamGone{8203, LogLevel::kInfo,
                                         "an upstream is gone", ""};
 inline constexpr LogEvent kZoneEvacuated{
--- a/include/mimosagauge/impl/decisions/gateway_metrics.h
+++ b/include/mimosagauge/impl/decisions/gateway_metrics.h
@@ -88,10 +88,23 @@
   std::optional<Duration> confirmation_age;
 };
 
+/// \brief What it costs to continue streams at their software version, and what
+/// became of the streams that callers resumed.
+struct StreamMetrics {
+  std::uint64_t begun = 0;      ///< Streams that may be resumed, begun here.
+  std::uint64_t told = 0;       ///< Origins sent to other instances.
+  std::uint64_t questions = 0;  ///< Questions sent to other instances.
+  std::uint64_t messages = 0;   ///< Messages with any of these or answers.
+  std::uint64_t found = 0;      ///< Resumptions whose origin was found.
+  std::uint64_t concluded = 0;  ///< Resumptions of the only version that ran.
+  std::uint64_t refused = 0;    ///< Resumptions of an unknown origin.
+};
+
 /// \brief All metrics of the gateway state machine.
 struct GatewayMetrics {
   std::map<ServiceId, ServiceMetrics> services;
   AccountMetrics accounts;
+  StreamMetrics streams;
   std::uint64_t discarded = 0;  ///< Events received for attempts that had
                                 ///< already ended.
   /// Attempts started outside the home regions that the configuration in force
--- a/include/mimosagauge/impl/decisions/streams/stream_continuity.h
+++ b/include/mimosagauge/impl/decisions/streams/stream_continuity.h
@@ -14,6 +14,12 @@
 
 namespace mimosagauge {
 
+/// \brief A message that gathers what is to be sent to one instance.
+struct QueuedStreamMessage {
+  StreamMessage message;
+  TimePoint send_at{};
+};
+
 /// \brief State of the continuity of streams.
 struct StreamContinuity {
   SoftwareHistory history;
@@ -24,11 +30,10 @@
   StreamLookups lookups;
   /// When the store was last asked for an answer that covers the present.
   TimePoint store_asked_at{};
-  /// A later request waits for such an answer, which is asked for after a
-  /// pause.
+  /// A later request needs such an answer too; it is asked for after a pause.
   bool store_question_due = false;
-  /// Messages to be sent at `send_at`.
-  std::map<InstanceId, StreamMessage> outbox;
+  std::map<InstanceId, QueuedStreamMessage> outbox;  ///< By receiver.
+  /// When the first message of `outbox` is sent; not used while it is empty.
   TimePoint send_at{};
 };
 
--- a/include/mimosagauge/impl/decisions/streams/stream_origins.h
+++ b/include/mimosagauge/impl/decisions/streams/stream_origins.h
@@ -1,7 +1,8 @@
 // Which software version began each stream, so that a stream that broke off is
 // resumed by that version only. An instance that begins a stream tells two
-// instances of its region, chosen by the request's id; an instance at which a
-// caller resumes it asks them.
+// instances of its region, chosen by the request's id, and one of each other
+// region, which tells one more there; an instance at which a caller resumes it
+// asks them.
 
 #ifndef MIMOSAGAUGE_IMPL_DECISIONS_STREAMS_STREAM_ORIGINS_H_
 #define MIMOSAGAUGE_IMPL_DECISIONS_STREAMS_STREAM_ORIGINS_H_
--- a/src/decisions/gateway_metrics.cc
+++ b/src/decisions/gateway_metrics.cc
@@ -180,6 +180,29 @@
   }
 }
 
+void AppendStreamMetrics(std::string& text, const StreamMetrics& streams) {
+  AppendValue(text, "streams_begun_total", "counter",
+              "Streams begun here that may be resumed.", streams.begun);
+  AppendValue(text, "stream_origins_told_total", "counter",
+              "Origins of streams sent to other instances.", streams.told);
+  AppendValue(text, "stream_questions_total", "counter",
+              "Questions for the origin of a stream sent to other instances.",
+              streams.questions);
+  AppendValue(text, "stream_messages_total", "counter",
+              "Messages about the origins of streams sent.", streams.messages);
+  text +=
+      "# HELP mimosagauge_stream_resumptions_total Streams that callers "
+      "resumed, by how the software version that began them became known.\n"
+      "# TYPE mimosagauge_stream_resumptions_total counter\n";
+  for (const auto& [origin, count] : {std::pair{"found", streams.found},
+                                      std::pair{"concluded", streams.concluded},
+                                      std::pair{"unknown", streams.refused}}) {
+    fmt::format_to(std::back_inserter(text),
+                   "mimosagauge_stream_resumptions_total{{origin=\"{}\"}} {}\n",
+                   origin, count);
+  }
+}
+
 }  // namespace
 
 TimeSummary::TimeSummary()
@@ -226,6 +249,7 @@
   AppendValue(text, "attempts_outside_homes_total", "counter",
               "Attempts started outside the home regions of their request.",
               metrics.outside_homes);
+  AppendStreamMetrics(text, metrics.streams);
   AppendValue(text, "in_progress", "gauge",
               "Requests whose answer is not complete.", metrics.in_progress);
   AppendValue(text, "unwritten", "gauge",
--- a/src/decisions/gateway_streams.cc
+++ b/src/decisions/gateway_streams.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <utility>
 
 #include "mimosagauge/impl/decisions/gateway_detail.h"
@@ -11,33 +12,44 @@
 namespace mimosagauge::detail {
 namespace {
 
-// Instances that keep the origin of a stream, beside the one that began it.
+// Instances of its region that keep the origin of a stream, beside the one that
+// began it.
 constexpr std::size_t kKeepers = 2;
+// The same in each other region, beside the one that was told from here.
+constexpr std::size_t kKeepersElsewhere = 1;
 // Instances that are asked: one more, since the instances that began the stream
 // and that resumes it may know of different instances.
 constexpr std::size_t kAsked = 3;
+// Instances of each other region that are asked; two, so that one of them may
+// not answer.
+constexpr std::size_t kAskedElsewhere = 2;
 // Time in which origins are gathered into one message.
 constexpr Duration kSendDelay = std::chrono::milliseconds(20);
+// The same for other regions. They need the origins only if this region is
+// lost.
+constexpr Duration kSendElsewhereDelay = std::chrono::milliseconds(50);
 // Time limit for the answers of the own region's instances.
 constexpr Duration kAnswerWithin = std::chrono::milliseconds(250);
-// Time limit for the answers of the store, in another region and on a new
+// Time limit for the answers of the other regions' instances, which ask others
+// for up to `kAnswerWithin`, and of the store, in another region and on a new
 // connection.
 constexpr Duration kBeyondWithin = std::chrono::milliseconds(500);
 // Shortest interval at which the store is asked for an answer that covers the
 // present.
 constexpr Duration kStoreInterval = std::chrono::milliseconds(100);
+// Time-out of a route that states none, and the shortest time for which a
+// stream is taken to be resumable.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
 
 // Returns the time from the first event of a stream for which it may be
 // resumed. A caller returns until its own deadline, whatever the time-out of
 // the route is, or will be after a change of the configuration.
 [[nodiscard]] Duration ResumptionPeriod(const Gateway& gateway) {
-  Duration longest = gateway.streams.longest_deadline;
+  Duration longest =
+      std::max(kDefaultTimeout, gateway.streams.longest_deadline);
   for (const Route& route : gateway.catalogue->routes) {
     if (route.stream) {
-      longest =
-          std::max(longest, route.timeout == Duration::zero() ? kDefaultTimeout
-                                                              : route.timeout);
+      longest = std::max(longest, route.timeout);
     }
   }
   return std::min(longest, kLongestResumption);
@@ -83,13 +95,54 @@
   const TimePoint send_at = context.now + delay;
   streams.send_at =
       streams.outbox.empty() ? send_at : std::min(streams.send_at, send_at);
-  return streams.outbox[to];
+  const auto [entry, created] =
+      streams.outbox.try_emplace(to, QueuedStreamMessage{{}, send_at});
+  entry->second.send_at = std::min(entry->second.send_at, send_at);
+  return entry->second.message;
 }
 
-void TellKeepers(StepContext& context, const StreamOrigin& origin) {
+// Returns the instances of other regions with a link to this one, by region.
+[[nodiscard]] std::map<RegionId, std::vector<InstanceId>> LinkedElsewhere(
+    const Gateway& gateway) {
+  std::map<RegionId, std::vector<InstanceId>> linked;
+  for (const PeerState& peer : gateway.peers) {
+    if (peer.up && !peer.only_for_allowances && !IsInOwnRegion(gateway, peer)) {
+      linked[peer.config.region].push_back(peer.config.id);
+    }
+  }
+  return linked;
+}
+
+void Tell(StepContext& context, const InstanceId& to, Duration delay,
+          const StreamOrigin& origin) {
+  MessageTo(context, to, delay).origins.push_back(origin);
+  ++context.gateway.metrics.streams.told;
+}
+
+void TellOwnRegion(StepContext& context, const StreamOrigin& origin,
+                   std::size_t keepers, Duration delay) {
   for (const InstanceId& keeper :
-       OtherKeepers(context.gateway, origin.request, kKeepers)) {
-    MessageTo(context, keeper, kSendDelay).origins.push_back(origin);
+       OtherKeepers(context.gateway, origin.request, keepers)) {
+    Tell(context, keeper, delay, origin);
+  }
+}
+
+// Tells one instance of each other region, which passes the origin on there: a
+// stream of a region that is lost is resumed in another one. The instance that
+// forwarded the request is told in its region, and earlier, since the caller
+// resumes the stream there.
+void TellElsewhere(StepContext& context, const StreamOrigin& origin,
+                   const std::optional<InstanceId>& forwarder) {
+  const PeerState* forwarding =
+      forwarder ? FindPeer(context.gateway, *forwarder) : nullptr;
+  if (forwarder) {
+    Tell(context, *forwarder, kSendDelay, origin);
+  }
+  for (const auto& [region, linked] : LinkedElsewhere(context.gateway)) {
+    if (forwarding == nullptr || forwarding->config.region != region) {
+      Tell(context, KeepersOf(origin.request, linked, 1).front(),
+           kSendElsewhereDelay, origin);
+    }
   }
 }
 
@@ -99,6 +152,7 @@
 }
 
 void RefuseUnknownOrigin(StepContext& context, RequestRecord& record) {
+  ++context.gateway.metrics.streams.refused;
   context.effects.emplace_back(
       WriteLog{log_events::kStreamOriginUnknown,
                {{"request", record.arrival.head->id.value()},
@@ -113,6 +167,7 @@
   for (const InstanceId& instance : instances) {
     MessageTo(context, instance, Duration::zero())
         .questions.push_back({stream, lookup.service});
+    ++context.gateway.metrics.streams.questions;
     lookup.awaited.insert(instance);
   }
 }
@@ -141,12 +196,29 @@
   }
 }
 
+// Answers the instances of other regions that asked. A conclusion is not passed
+// on, so they are told only what is known here as a fact.
+void AnswerAskers(StepContext& context, const RequestId& stream,
+                  const std::vector<InstanceId>& askers) {
+  const auto origin =
+      FindOrigin(context.gateway.streams.origins, stream, context.now);
+  for (const InstanceId& asker : askers) {
+    StreamMessage& answer = MessageTo(context, asker, Duration::zero());
+    if (origin) {
+      answer.origins.push_back(*origin);
+    } else {
+      answer.unknown.push_back(stream);
+    }
+  }
+}
+
 // Ends the search. The version is known if `software` is not null; whether it
 // is a fact or a conclusion does not matter to the requests that wait.
 void EndLookup(StepContext& context, const RequestId& stream,
                const SoftwareVersion* software) {
   Gateway& gateway = context.gateway;
   const StreamLookup lookup = CloseLookup(gateway.streams.lookups, stream);
+  AnswerAskers(context, stream, lookup.askers);
   for (const RequestNumber number : lookup.requests) {
     RequestRecord* record = FindRequest(gateway, number);
     if (record == nullptr) {
@@ -164,11 +236,17 @@
 // Goes on to the next stage of the search, or ends it.
 void StartNextStage(StepContext& context, const RequestId& stream,
                     StreamLookup& lookup) {
-  if (lookup.stage == LookupStage::kBeyond) {
+  // An instance of another region that asked goes on by itself.
+  if (lookup.stage == LookupStage::kBeyond || lookup.requests.empty()) {
     return EndLookup(context, stream, nullptr);
   }
   lookup.stage = LookupStage::kBeyond;
   lookup.awaited.clear();
+  if (!stream.empty()) {
+    for (const auto& [region, linked] : LinkedElsewhere(context.gateway)) {
+      Ask(context, stream, lookup, KeepersOf(stream, linked, kAskedElsewhere));
+    }
+  }
   AwaitStore(context, lookup);
   if (!IsAwaiting(lookup)) {
     return EndLookup(context, stream, nullptr);
@@ -177,34 +255,65 @@
               context.now + kBeyondWithin);
 }
 
+// Starts a search that someone waits for. It may have ended when this returns.
+void StartLookup(StepContext& context, const RequestId& stream,
+                 StreamLookup& lookup) {
+  // Without the name of the stream nobody can look it up.
+  if (!stream.empty()) {
+    Ask(context, stream, lookup, OtherKeepers(context.gateway, stream, kAsked));
+  }
+  if (!IsAwaiting(lookup)) {
+    return StartNextStage(context, stream, lookup);
+  }
+  SetDeadline(context.gateway.streams.lookups, stream, lookup,
+              context.now + kAnswerWithin);
+}
+
 // Searches for the origin of the stream that the request resumes. The record
 // may have ended when this returns.
 void SearchOrigin(StepContext& context, RequestRecord& record) {
   StreamLookups& lookups = context.gateway.streams.lookups;
   const RequestId stream = StreamOf(record);
-  StreamLookup* lookup = FindLookup(lookups, stream);
-  const bool is_new = lookup == nullptr;
-  if (is_new) {
-    lookup = &OpenLookup(lookups, stream, record.verdict.service);
-  }
+  StreamLookup* running = FindLookup(lookups, stream);
+  StreamLookup& lookup =
+      running != nullptr ? *running
+                         : OpenLookup(lookups, stream, record.verdict.service);
   record.awaits_origin = true;
-  lookup->requests.push_back(record.arrival.number);
-  lookup->arrived = context.now;
-  if (!is_new) {
-    if (lookup->awaits_store) {
-      AskStore(context);
-    }
-    return;
-  }
-  // Without the name of the stream nobody can look it up.
-  if (!stream.empty()) {
-    Ask(context, stream, *lookup,
-        OtherKeepers(context.gateway, stream, kAsked));
+  lookup.requests.push_back(record.arrival.number);
+  lookup.arrived = context.now;
+  if (running == nullptr) {
+    StartLookup(context, stream, lookup);
+  } else if (lookup.awaits_store) {
+    AskStore(context);
   }
-  if (!IsAwaiting(*lookup)) {
-    return StartNextStage(context, stream, *lookup);
+}
+
+// Searches for the origin of a stream in this region for an instance of another
+// one.
+void SearchOriginFor(StepContext& context, const InstanceId& asker,
+                     const StreamQuestion& question) {
+  StreamLookups& lookups = context.gateway.streams.lookups;
+  StreamLookup* running = FindLookup(lookups, question.request);
+  StreamLookup& lookup =
+      running != nullptr
+          ? *running
+          : OpenLookup(lookups, question.request, question.service);
+  lookup.askers.push_back(asker);
+  if (running == nullptr) {
+    StartLookup(context, question.request, lookup);
   }
-  SetDeadline(lookups, stream, *lookup, context.now + kAnswerWithin);
+}
+
+[[nodiscard]] bool IsElsewhere(Gateway& gateway, const InstanceId& instance) {
+  const PeerState* peer = FindPeer(gateway, instance);
+  return peer != nullptr && !IsInOwnRegion(gateway, *peer);
+}
+
+// Returns the number of requests that wait for the origin of the stream.
+[[nodiscard]] std::size_t WaitingRequests(Gateway& gateway,
+                                          const RequestId& stream) {
+  const StreamLookup* lookup = FindLookup(gateway.streams.lookups, stream);
+  return lookup == nullptr ? 0 : lookup->requests.size();
 }
 
 void ApplyOrigin(StepContext& context, const InstanceId& from,
@@ -214,12 +323,10 @@
     return;
   }
   RecordOrigin(gateway.streams.origins, origin, context.now);
-  const PeerState* sender = FindPeer(gateway, from);
-  // The upstream is in another region, whose instances a caller that resumes
-  // the stream does not reach.
-  if (sender != nullptr && !IsInOwnRegion(gateway, *sender)) {
-    TellKeepers(context, origin);
+  if (IsElsewhere(gateway, from)) {
+    TellOwnRegion(context, origin, kKeepersElsewhere, kSendElsewhereDelay);
   }
+  gateway.metrics.streams.found += WaitingRequests(gateway, origin.request);
   EndLookup(context, origin.request, &origin.software);
 }
 
@@ -237,13 +344,14 @@
 void AnswerStreamQuestion(StepContext& context, const InstanceId& from,
                           const StreamQuestion& question) {
   Gateway& gateway = context.gateway;
-  StreamMessage& answer = MessageTo(context, from, Duration::zero());
-  if (auto origin =
-          FindOrigin(gateway.streams.origins, question.request, context.now)) {
-    answer.origins.push_back(*std::move(origin));
-  } else {
-    answer.unknown.push_back(question.request);
-  }
+  const bool known =
+      FindOrigin(gateway.streams.origins, question.request, context.now)
+          .has_value();
+  // An instance of this region asks all that may know the origin by itself.
+  if (!known && !question.request.empty() && IsElsewhere(gateway, from)) {
+    return SearchOriginFor(context, from, question);
+  }
+  AnswerAskers(context, question.request, {from});
 }
 
 // Returns the searches that an answer of the store decides which covers all up
@@ -259,6 +367,26 @@
   return covered;
 }
 
+void SendDueMessages(StepContext& context) {
+  StreamContinuity& streams = context.gateway.streams;
+  if (streams.outbox.empty() || streams.send_at > context.now) {
+    return;
+  }
+  streams.send_at = TimePoint::max();
+  for (auto entry = streams.outbox.begin(); entry != streams.outbox.end();) {
+    QueuedStreamMessage& queued = entry->second;
+    if (queued.send_at > context.now) {
+      streams.send_at = std::min(streams.send_at, queued.send_at);
+      ++entry;
+      continue;
+    }
+    ++context.gateway.metrics.streams.messages;
+    context.effects.emplace_back(
+        ForLinks{SendStreams{entry->first, std::move(queued.message)}});
+    entry = streams.outbox.erase(entry);
+  }
+}
+
 }  // namespace
 
 bool SettleSoftware(StepContext& context, RequestRecord& record) {
@@ -276,6 +404,7 @@
   if (const auto origin =
           FindOrigin(gateway.streams.origins, head.resumes, context.now)) {
     Settle(record, origin->software);
+    ++gateway.metrics.streams.found;
     return true;
   }
   SearchOrigin(context, record);
@@ -304,14 +433,16 @@
   }
   const StreamOrigin origin{stream, software, record.caller_due - context.now};
   RecordOrigin(gateway.streams.origins, origin, context.now);
-  if (SoleSoftwareHeard(gateway, record.verdict.service, context.now)) {
+  if (!record.verdict.resumable) {
     return;
   }
-  TellKeepers(context, origin);
+  ++gateway.metrics.streams.begun;
+  TellOwnRegion(context, origin, kKeepers, kSendDelay);
+  std::optional<InstanceId> forwarder;
   if (record.arrival.origin == Origin::kLink && !head.path.empty()) {
-    MessageTo(context, InstanceId{head.path.back().name}, kSendDelay)
-        .origins.push_back(origin);
+    forwarder = InstanceId{head.path.back().name};
   }
+  TellElsewhere(context, origin, forwarder);
 }
 
 void MaintainStreams(StepContext& context) {
@@ -324,12 +455,7 @@
   if (streams.store_question_due) {
     AskStore(context);
   }
-  if (streams.outbox.empty() || streams.send_at > context.now) {
-    return;
-  }
-  for (auto& [to, message] : std::exchange(streams.outbox, {})) {
-    context.effects.emplace_back(ForLinks{SendStreams{to, std::move(message)}});
-  }
+  SendDueMessages(context);
 }
 
 void Handle(StepContext& context, StreamsReceived&& event) {
@@ -355,13 +481,22 @@
   Gateway& gateway = context.gateway;
   StreamLookups& lookups = gateway.streams.lookups;
   for (const RequestId& stream : LookupsCoveredBy(lookups, event.as_of)) {
-    StreamLookup& lookup = *FindLookup(lookups, stream);
-    const auto sole = SoleSoftwareHeard(gateway, lookup.service, context.now);
-    lookup.awaits_store = false;
+    StreamLookup* lookup = FindLookup(lookups, stream);
+    if (lookup == nullptr) {
+      continue;
+    }
+    const auto sole = SoleSoftwareHeard(gateway, lookup->service, context.now);
+    lookup->awaits_store = false;
     if (sole) {
+      gateway.metrics.streams.concluded += lookup->requests.size();
+      context.effects.emplace_back(
+          WriteLog{log_events::kStreamOriginConcluded,
+                   {{"resumes", stream.value()},
+                    {"service", lookup->service.value()},
+                    {"software", sole->value()}}});
       EndLookup(context, stream, &*sole);
-    } else if (!IsAwaiting(lookup)) {
-      StartNextStage(context, stream, lookup);
+    } else if (!IsAwaiting(*lookup)) {
+      StartNextStage(context, stream, *lookup);
     }
   }
 }
--- a/src/decisions/streams/stream_origins.cc
+++ b/src/decisions/streams/stream_origins.cc
@@ -3,6 +3,8 @@
 #include "mimosagauge/impl/decisions/streams/stream_origins.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <utility>
 
 #include "mimosagauge/impl/decisions/rendezvous.h"
 
@@ -51,13 +53,22 @@
                                   const std::vector<InstanceId>& candidates,
                                   std::size_t count) {
   const std::uint64_t subject = RendezvousWeight(0, request.value());
-  std::vector<InstanceId> keepers = candidates;
-  std::sort(keepers.begin(), keepers.end(),
-            [subject](const InstanceId& a, const InstanceId& b) {
-              return RendezvousWeight(subject, a.value()) >
-                     RendezvousWeight(subject, b.value());
-            });
-  keepers.resize(std::min(count, keepers.size()));
+  std::vector<std::pair<std::uint64_t, const InstanceId*>> ranked;
+  ranked.reserve(candidates.size());
+  for (const InstanceId& candidate : candidates) {
+    ranked.emplace_back(RendezvousWeight(subject, candidate.value()),
+                        &candidate);
+  }
+  const std::size_t chosen = std::min(count, ranked.size());
+  std::partial_sort(
+      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(chosen),
+      ranked.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<InstanceId> keepers;
+  keepers.reserve(chosen);
+  for (std::size_t i = 0; i < chosen; ++i) {
+    keepers.push_back(*ranked[i].second);
+  }
   return keepers;
 }
 
--- a/src/wire/streams_codec.cc
+++ b/src/wire/streams_codec.cc
@@ -33,6 +33,15 @@
   return text == nullptr ? std::string() : text->str();
 }
 
+// Most messages have one list only; an empty one takes no bytes.
+template <typename Element>
+[[nodiscard]] flatbuffers::Offset<flatbuffers::Vector<Element>> ListOrNone(
+    flatbuffers::FlatBufferBuilder& builder,
+    const std::vector<Element>& elements) {
+  return elements.empty() ? flatbuffers::Offset<flatbuffers::Vector<Element>>()
+                          : builder.CreateVector(elements);
+}
+
 }  // namespace
 
 std::string EncodeStreams(const StreamMessage& message) {
@@ -54,9 +63,9 @@
   for (const RequestId& request : message.unknown) {
     unknown.push_back(builder.CreateString(request.value()));
   }
-  const auto origin_list = builder.CreateVector(origins);
-  const auto question_list = builder.CreateVector(questions);
-  const auto unknown_list = builder.CreateVector(unknown);
+  const auto origin_list = ListOrNone(builder, origins);
+  const auto question_list = ListOrNone(builder, questions);
+  const auto unknown_list = ListOrNone(builder, unknown);
   builder.Finish(
       wire::CreateStreams(builder, origin_list, question_list, unknown_list));
   std::string bytes(kTagBytes, '\0');
--- a/tests/support/fleet_gateway.cc
+++ b/tests/support/fleet_gateway.cc
@@ -9,11 +9,12 @@
 constexpr std::size_t kEngineSlots = 64;
 constexpr std::size_t kDeskSlots = 6;
 
-[[nodiscard]] GatewayConfig Config(const std::string& instance) {
+[[nodiscard]] GatewayConfig Config(const std::string& instance,
+                                   const std::string& region) {
   GatewayConfig config;
   config.instance = InstanceId{instance};
-  config.region = RegionId{"nairobi"};
-  config.zone = ZoneId{"nairobi-a"};
+  config.region = RegionId{region};
+  config.zone = ZoneId{region + "-a"};
   config.entry = {"10.1.0.1", 8000};
   config.limits.due_grace = std::chrono::milliseconds(150);
   config.limits.leave_notice = std::chrono::milliseconds(1500);
@@ -75,8 +76,9 @@
   return catalogue;
 }
 
-FleetGateway::FleetGateway(const std::string& instance, bool just_started)
-    : gateway_(MakeGateway(Config(instance), now_, kSeed)) {
+FleetGateway::FleetGateway(const std::string& instance, bool just_started,
+                           const std::string& region)
+    : gateway_(MakeGateway(Config(instance, region), now_, kSeed)) {
   Give(CatalogueReceived{std::make_shared<const RouteCatalogue>(Catalogue(1))});
   if (just_started) {
     return;
@@ -125,7 +127,8 @@
 std::pair<RequestNumber, std::vector<Effect>> FleetGateway::Request(
     const FleetRequest& request) {
   auto head = std::make_shared<RequestHead>();
-  head->id = RequestId{"r" + std::to_string(next_number_)};
+  head->id = RequestId{request.id.empty() ? "r" + std::to_string(next_number_)
+                                          : request.id};
   head->host = "nets.example";
   head->method = "POST";
   head->target = request.path;
--- a/tests/support/fleet_gateway.h
+++ b/tests/support/fleet_gateway.h
@@ -24,6 +24,7 @@
   std::size_t runs = 0;  ///< Elsewhere, before; from another instance only.
   Revision revision{1};  ///< Of the sender; from another instance only.
   std::string digest{};  ///< Of method, target and body; empty: none.
+  std::string id{};      ///< Empty: derived from its number.
 };
 
 /// \brief One instance of region `nairobi`, `nairobi-1` by default, that knows
@@ -35,8 +36,10 @@
  public:
   /// \param just_started Whether its retry budgets are empty; otherwise they
   /// are full, as after a time without failures.
+  /// \param region Its region, and with `-a` appended its zone.
   explicit FleetGateway(const std::string& instance = "nairobi-1",
-                        bool just_started = false);
+                        bool just_started = false,
+                        const std::string& region = "nairobi");
 
   /// \brief Gives it an event; time stands still.
   std::vector<Effect> Give(Event event);
--- a/tests/unit/stream_versions_test.cc
+++ b/tests/unit/stream_versions_test.cc
@@ -26,8 +26,8 @@
 
 constexpr const char* kStream = "9c41d07be2a35f68";
 
-void AddEngine(FleetGateway& world, const std::string& id,
-               const std::string& software) {
+std::vector<Effect> AddEngine(FleetGateway& world, const std::string& id,
+                              const std::string& software) {
   UpstreamRecord record;
   record.config.id = UpstreamId{id};
   record.config.service = ServiceId{"engines"};
@@ -36,7 +36,7 @@
   record.config.honours_resume = true;
   record.config.endpoint = {"10.1.64.1", 8467};
   record.config.software = SoftwareVersion{software};
-  world.Give(UpstreamUpdated{record});
+  return world.Give(UpstreamUpdated{record});
 }
 
 // Begins a stream, of which one event is passed on.
@@ -355,15 +355,40 @@
   CHECK(world.gateway().streams.lookups.deadlines.empty());
 }
 
+// Returns the messages about streams among the effects.
+[[nodiscard]] std::vector<SendStreams> StreamMessages(
+    const std::vector<Effect>& effects) {
+  std::vector<SendStreams> messages;
+  for (const Effect& effect : effects) {
+    const auto* links = std::get_if<ForLinks>(&effect);
+    if (links != nullptr &&
+        std::holds_alternative<SendStreams>(links->effect)) {
+      messages.push_back(std::get<SendStreams>(links->effect));
+    }
+  }
+  return messages;
+}
+
+[[nodiscard]] std::size_t CountSentTo(const std::vector<SendStreams>& messages,
+                                      const std::string& region) {
+  return static_cast<std::size_t>(std::count_if(
+      messages.begin(), messages.end(), [&](const SendStreams& message) {
+        return message.to.value().starts_with(region) &&
+               !message.message.origins.empty();
+      }));
+}
+
 // Guards against: a stream whose origin is lost with the instance that served
-// it, messages about streams where one version runs alone, and a question that
-// is not answered.
+// it, also if another version joins only later (`lost-machine` of review/), or
+// with its region (review/8), and a question that is not answered.
 TEST_CASE("other instances are told which version began a stream") {
   const bool several = GENERATE(true, false);
   CAPTURE(several);
   FleetGateway world;
-  for (const char* id : {"nairobi-2", "nairobi-3", "nairobi-4"}) {
-    world.Instance(id, "nairobi");
+  for (const char* region : {"nairobi", "mombasa", "kisumu"}) {
+    for (const char* number : {"-2", "-3", "-4"}) {
+      world.Instance(region + std::string(number), region);
+    }
   }
   AddEngine(world, "old-1", "v1");
   world.Pass(seconds(61));
@@ -371,15 +396,13 @@
     AddEngine(world, "new-1", "v2");
   }
   const StartUpstreamAttempt start = Begin(world);
-  std::size_t told = 0;
-  for (const Effect& effect : world.Pass(milliseconds(30))) {
-    const auto* links = std::get_if<ForLinks>(&effect);
-    told +=
-        links != nullptr && std::holds_alternative<SendStreams>(links->effect)
-            ? 1
-            : 0;
-  }
-  CHECK(told == (several ? 2 : 0));
+  std::vector<SendStreams> told = StreamMessages(world.Pass(milliseconds(30)));
+  CHECK(CountSentTo(told, "nairobi") == 2);
+  const auto later = StreamMessages(world.Pass(milliseconds(30)));
+  told.insert(told.end(), later.begin(), later.end());
+  CHECK(told.size() == 4);
+  CHECK(CountSentTo(told, "mombasa") == 1);
+  CHECK(CountSentTo(told, "kisumu") == 1);
   const auto answer = Find<SendStreams>(world.Give(
       StreamsReceived{InstanceId{"nairobi-4"},
                       {{}, {{start.head->id, ServiceId{"engines"}}}, {}}}));
@@ -389,6 +412,98 @@
         SoftwareVersion{start.upstream == UpstreamId{"old-1"} ? "v1" : "v2"});
 }
 
+// Guards against: a stream of a lost region that nobody can resume, because its
+// origin did not reach the instances that are asked (review/8), and origins
+// that are passed on without end.
+TEST_CASE("an origin of another region is passed on once") {
+  const std::string sender = GENERATE("mombasa-1", "nairobi-2");
+  CAPTURE(sender);
+  FleetGateway world;
+  world.Instance("mombasa-1", "mombasa");
+  for (const char* id : {"nairobi-2", "nairobi-3", "nairobi-4"}) {
+    world.Instance(id, "nairobi");
+  }
+  world.Give(StreamsReceived{
+      InstanceId{sender},
+      {{{RequestId{kStream}, SoftwareVersion{"v1"}, seconds(4)}}, {}, {}}});
+  const auto told = StreamMessages(world.Pass(milliseconds(60)));
+  CHECK(told.size() == (sender == "mombasa-1" ? 1 : 0));
+  CHECK(CountSentTo(told, "nairobi") == told.size());
+}
+
+// Guards against: a resumption that is refused although instances of another
+// region know the origin.
+TEST_CASE("other regions are asked if the own one does not know") {
+  enum class Result { kFound, kUnknown, kSilent };
+  const Result result =
+      GENERATE(Result::kFound, Result::kUnknown, Result::kSilent);
+  CAPTURE(static_cast<int>(result));
+  FleetGateway world;
+  AddEngine(world, "old-1", "v1");
+  AddEngine(world, "new-1", "v2");
+  const InstanceId near{"nairobi-2"};
+  const InstanceId far{"mombasa-1"};
+  world.Instance(near.value(), "nairobi");
+  world.Instance(far.value(), "mombasa");
+  auto effects = Resume(world);
+  REQUIRE(StreamMessages(effects).size() == 1);
+  CHECK(StreamMessages(effects).front().to == near);
+  const StreamMessage unknown{{}, {}, {RequestId{kStream}}};
+  effects = world.Give(StreamsReceived{near, unknown});
+  REQUIRE(StreamMessages(effects).size() == 1);
+  CHECK(StreamMessages(effects).front().to == far);
+  CHECK(StreamMessages(effects).front().message.questions.size() == 1);
+  if (result == Result::kFound) {
+    effects = world.Give(StreamsReceived{
+        far,
+        {{{RequestId{kStream}, SoftwareVersion{"v2"}, seconds(4)}}, {}, {}}});
+  } else if (result == Result::kUnknown) {
+    effects = world.Give(StreamsReceived{far, unknown});
+  } else {
+    effects = world.Pass(milliseconds(510));
+  }
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  REQUIRE(start.has_value() == (result == Result::kFound));
+  CHECK(Find<SendProblem>(effects).has_value() == !start.has_value());
+  if (start) {
+    CHECK(start->upstream == UpstreamId{"new-1"});
+  }
+  CHECK(world.gateway().streams.lookups.open.empty());
+}
+
+// Guards against: a question of another region that ends at the instance that
+// has the link, and one that goes in circles.
+TEST_CASE("a question of another region is asked in the own one") {
+  const bool found = GENERATE(true, false);
+  const std::string asker = GENERATE("mombasa-1", "nairobi-3");
+  CAPTURE(found, asker);
+  const InstanceId keeper{"nairobi-2"};
+  FleetGateway world;
+  world.Instance(keeper.value(), "nairobi");
+  world.Instance(asker, asker.substr(0, asker.find('-')));
+  auto messages = StreamMessages(world.Give(
+      StreamsReceived{InstanceId{asker},
+                      {{}, {{RequestId{kStream}, ServiceId{"engines"}}}, {}}}));
+  REQUIRE(messages.size() == 1);
+  const bool is_far = asker == "mombasa-1";
+  CHECK(messages.front().to == (is_far ? keeper : InstanceId{asker}));
+  CHECK(messages.front().message.unknown.empty() == is_far);
+  if (!is_far) {
+    return;
+  }
+  StreamMessage answer;
+  if (found) {
+    answer.origins = {{RequestId{kStream}, SoftwareVersion{"v1"}, seconds(4)}};
+  } else {
+    answer.unknown = {RequestId{kStream}};
+  }
+  messages = StreamMessages(world.Give(StreamsReceived{keeper, answer}));
+  REQUIRE(messages.size() == 1);
+  CHECK(messages.front().to == InstanceId{asker});
+  CHECK(messages.front().message == answer);
+  CHECK(world.gateway().streams.lookups.open.empty());
+}
+
 // Guards against: an instance that takes the version of now for the one that
 // ran when a stream began.
 TEST_CASE("a version is the only one if the history covers the time") {
