Resume streams of versions that an instance has not heard of

Reported by operators: an instance was out of step while upstreams of a new version joined, and streams of that version went on there at another one (ORDER). It could happen here: the instance believed itself in contact with the store and concluded from what it knew.

What remained: such an instance was told the right version and refused the stream, as it knew no upstream of it. It now sees that it lags behind, reads the store at once and holds the request like one that waits for a free upstream.

Test: "an instance out of step resumes streams at their own version", for an instance that reaches the others, the store, both or neither.

--- a/include/mimosagauge/impl/core/log_catalogue.h
+++ b/include/mimosagauge/impl/core/log_catalogue.h
@@ -146,6 +146,11 @@
     "a resumed stream whose origin is not known goes on, since the store has "
     "shown that only one software version ran",
     ""};
+inline constexpr LogEvent kSoftwareUnheard{
+    8359, LogLevel::kInfo,
+    "a resumed stream belongs to a software version that is not known here "
+    "yet; the store is read",
+    "none, unless it is frequent: then this instance lags behind the store"};
 inline constexpr LogEvent kUpstreamGone{8203, LogLevel::kInfo,
                                         "an upstream is gone", ""};
 inline constexpr LogEvent kZoneEvacuated{
--- a/include/mimosagauge/impl/decisions/gateway_detail.h
+++ b/include/mimosagauge/impl/decisions/gateway_detail.h
@@ -421,6 +421,13 @@
 [[nodiscard]] bool IsBoundToSoftware(const Gateway& gateway,
                                      const RequestRecord& record);
 
+/// \brief Checks whether the request continues a stream of a version that this
+/// instance has not heard of: its knowledge of the upstreams is out of date.
+/// The store is then asked for what it missed.
+/// \returns Whether upstreams of that version may become known.
+[[nodiscard]] bool AwaitsUnheardSoftware(StepContext& context,
+                                         const RequestRecord& record);
+
 /// \brief Records which version began the stream of the running attempt, when
 /// its first event is received.
 void RecordStreamOrigin(StepContext& context, RequestRecord& record);
--- a/include/mimosagauge/impl/decisions/streams/software_history.h
+++ b/include/mimosagauge/impl/decisions/streams/software_history.h
@@ -56,6 +56,12 @@
                             const ServiceId& service,
                             const SoftwareVersion& software);
 
+/// \returns Whether an upstream of the service runs this version, or is known
+/// to have run it.
+[[nodiscard]] bool HasRun(const SoftwareHistory& history,
+                          const ServiceId& service,
+                          const SoftwareVersion& software);
+
 /// \returns The only version that upstreams of the service have run within
 /// `period`; empty if there were several or none, or if the history does not
 /// cover that time. It says nothing of changes of the store that have not been
--- a/src/core/log_catalogue.cc
+++ b/src/core/log_catalogue.cc
@@ -35,6 +35,7 @@
     log_events::kPauseIgnored,
     log_events::kStreamOriginUnknown,
     log_events::kStreamOriginConcluded,
+    log_events::kSoftwareUnheard,
     log_events::kUpstreamGone,
     log_events::kZoneEvacuated,
     log_events::kCoordinatorSilent,
--- a/src/decisions/gateway_place.cc
+++ b/src/decisions/gateway_place.cc
@@ -370,8 +370,9 @@
   }
   const Duration longest_wait =
       std::min(MaxWait(record), record.due - context.now);
-  if (local_allowed && CanEventuallyServe(gateway.upstreams, need, region,
-                                          longest_wait, context.now)) {
+  if (local_allowed && (CanEventuallyServe(gateway.upstreams, need, region,
+                                           longest_wait, context.now) ||
+                        AwaitsUnheardSoftware(context, record))) {
     return EnqueueRequest(context, record);
   }
   RefuseUnplaceable(context, record);
--- a/src/decisions/gateway_streams.cc
+++ b/src/decisions/gateway_streams.cc
@@ -417,6 +417,25 @@
                    record.software);
 }
 
+bool AwaitsUnheardSoftware(StepContext& context, const RequestRecord& record) {
+  const Gateway& gateway = context.gateway;
+  if (gateway.catalogue == nullptr || record.software.empty() ||
+      !gateway.freshness.store_in_contact ||
+      HasRun(gateway.streams.history, record.verdict.service,
+             record.software)) {
+    return false;
+  }
+  if (!record.queue_position) {
+    context.effects.emplace_back(
+        WriteLog{log_events::kSoftwareUnheard,
+                 {{"request", record.arrival.head->id.value()},
+                  {"service", record.verdict.service.value()},
+                  {"software", record.software.value()}}});
+  }
+  AskStore(context);
+  return true;
+}
+
 void RecordStreamOrigin(StepContext& context, RequestRecord& record) {
   Gateway& gateway = context.gateway;
   const RequestHead& head = *record.arrival.head;
--- a/src/decisions/streams/software_history.cc
+++ b/src/decisions/streams/software_history.cc
@@ -80,6 +80,21 @@
   return runs;
 }
 
+bool HasRun(const SoftwareHistory& history, const ServiceId& service,
+            const SoftwareVersion& software) {
+  const auto gone = history.gone.find(service);
+  return std::any_of(history.running.begin(), history.running.end(),
+                     [&](const auto& entry) {
+                       return entry.second.service == service &&
+                              entry.second.software == software;
+                     }) ||
+         (gone != history.gone.end() &&
+          std::any_of(gone->second.begin(), gone->second.end(),
+                      [&](const SoftwareHistory::Gone& version) {
+                        return version.software == software;
+                      }));
+}
+
 std::optional<SoftwareVersion> SoleSoftware(const SoftwareHistory& history,
                                             const ServiceId& service,
                                             Duration period, TimePoint now) {
--- a/tests/unit/stream_versions_test.cc
+++ b/tests/unit/stream_versions_test.cc
@@ -339,6 +339,53 @@
   CHECK(answer->message.unknown == std::vector<RequestId>{RequestId{kStream}});
 }
 
+// Guards against: an instance that was cut off or stood still while upstreams
+// of a new version joined, and lets their streams go on at the version that it
+// knows.
+TEST_CASE("an instance out of step resumes streams at their own version") {
+  struct Case {
+    std::string name;
+    bool others_in_reach;
+    bool store_in_reach;
+    bool resumed;
+  };
+  const Case one = GENERATE(values<Case>({
+      {"it has just woken up", true, true, true},
+      {"the store does not answer yet", true, false, false},
+      {"the other instances do not answer yet", false, true, false},
+      {"nobody answers yet", false, false, false},
+  }));
+  CAPTURE(one.name);
+  FleetGateway world = WorldOfOneVersion();
+  const InstanceId keeper{"nairobi-2"};
+  world.Instance(keeper.value(), "nairobi");
+  // Upstreams of v2 join meanwhile, and one of them begins the stream.
+  world.Pass(seconds(4));
+  std::vector<Effect> effects = Resume(world);
+  if (one.others_in_reach) {
+    effects = world.Give(StreamsReceived{
+        keeper,
+        {{{RequestId{kStream}, SoftwareVersion{"v2"}, seconds(4)}}, {}, {}}});
+  } else {
+    effects = world.Pass(milliseconds(260));
+  }
+  CHECK(AsksStore(effects));
+  CHECK_FALSE(Find<StartUpstreamAttempt>(effects));
+  if (one.store_in_reach) {
+    effects = AddEngine(world, "new-1", "v2");
+    const auto later = world.Give(StoreCaughtUp{world.now()});
+    effects.insert(effects.end(), later.begin(), later.end());
+  } else {
+    effects = world.Pass(seconds(1));
+  }
+  const auto start = Find<StartUpstreamAttempt>(effects);
+  REQUIRE(start.has_value() == one.resumed);
+  CHECK(Find<SendProblem>(effects).has_value() == !one.resumed);
+  if (start) {
+    CHECK(start->upstream == UpstreamId{"new-1"});
+  }
+}
+
 // Guards against: lookups that are kept for requests that have ended.
 TEST_CASE("a lookup ends with its request") {
   const bool abandoned = GENERATE(true, false);
